--- /dev/null
+++ b/src/daemon/admin_api_func.cpp
@@ -0,0 +1,158 @@
+#include "daemon/admin_api_func.h"
+
+#include <boost/json.hpp>
+
+namespace hickorycrank::daemon {
+
+namespace json = boost::json;
+
+namespace {
+
+/**
+ * Writes the counters of one service.
+ * @param Status The service.
+ * @return Prometheus text.
+ */
+std::string renderService(const ServiceStatus &Status) {
+  std::string Text;
+  auto Sample = [&](const std::string &Name, metrics::Labels Series,
+                    double Value) {
+    Series["service"] = Status.Service;
+    Text += metrics::formatSample("hickorycrank_" + Name, Series, Value);
+  };
+  const query::EngineCounters &Counters = Status.Counters;
+  const std::pair<const char *, uint64_t> Plain[] = {
+      {"queries_total", Counters.Queries},
+      {"queries_joined_total", Counters.Joined},
+      {"answers_total", Counters.Answers},
+      {"first_attempts_total", Counters.FirstAttempts},
+      {"hedges_total", Counters.Hedges},
+      {"hedge_wins_total", Counters.HedgeWins},
+      {"hedges_denied_total", Counters.HedgesDenied},
+      {"retries_denied_total", Counters.RetriesDenied},
+      {"wrong_echoes_total", Counters.WrongEchoes},
+      {"wrong_versions_total", Counters.WrongVersions},
+      {"late_replies_total", Counters.LateReplies},
+      {"snapshot_restarts_total", Counters.Restarts},
+      {"early_stops_total", Counters.EarlyStops},
+      {"ejections_total", Counters.Ejections},
+      {"silent_connections_total", Counters.SilentConnections},
+      {"server_crashes_total", Counters.Crashes},
+      {"pauses_total", Counters.Pauses},
+      {"live_queries", Status.LiveQueries},
+      {"waiting_sub_queries", Status.Waiting}};
+  for (const auto &[Name, Value] : Plain) {
+    Sample(Name, {}, static_cast<double>(Value));
+  }
+  uint64_t Retries = 0;
+  for (size_t I = 0; I < query::RetryReasonCount; ++I) {
+    Retries += Counters.Retries[I];
+    Sample("retries_total",
+           {{"reason", toString(static_cast<query::RetryReason>(I))}},
+           static_cast<double>(Counters.Retries[I]));
+  }
+  for (size_t I = 0; I < query::RefusalKindCount; ++I) {
+    Sample("engine_refusals_total",
+           {{"kind", toString(static_cast<query::RefusalKind>(I))}},
+           static_cast<double>(Counters.Refusals[I]));
+  }
+  Sample("extra_attempts_total", {},
+         static_cast<double>(Retries + Counters.Hedges));
+  Sample("hedge_delay_seconds", {}, Status.HedgeDelayMs / 1000);
+  return Text;
+}
+
+/**
+ * Writes one service for the status page.
+ * @param Status The service.
+ * @return JSON object.
+ */
+json::object encodeService(const ServiceStatus &Status) {
+  json::array Servers;
+  for (const ServerStatus &Server : Status.Servers) {
+    Servers.push_back(json::object{{"server", Server.Server},
+                                   {"phase", Server.Phase},
+                                   {"outstanding", Server.Outstanding},
+                                   {"latency_ms", Server.LatencyMs},
+                                   {"success_rate", Server.SuccessRate},
+                                   {"concurrency_limit", Server.Limit},
+                                   {"connections", Server.Connections}});
+  }
+  const query::EngineCounters &Counters = Status.Counters;
+  uint64_t Retries = 0;
+  for (uint64_t Count : Counters.Retries) {
+    Retries += Count;
+  }
+  return {{"service", Status.Service},
+          {"live_queries", Status.LiveQueries},
+          {"waiting", Status.Waiting},
+          {"hedge_delay_ms", Status.HedgeDelayMs},
+          {"budget", json::object{{"first_attempts", Counters.FirstAttempts},
+                                  {"hedges", Counters.Hedges},
+                                  {"retries", Retries},
+                                  {"hedges_denied", Counters.HedgesDenied},
+                                  {"retries_denied", Counters.RetriesDenied}}},
+          {"servers", std::move(Servers)}};
+}
+
+/**
+ * Names a readiness.
+ * @param State The readiness.
+ * @return Lower-case name.
+ */
+const char *readinessName(Readiness State) {
+  static constexpr const char *Names[] = {"starting", "ready", "draining"};
+  return Names[static_cast<size_t>(State)];
+}
+
+} // namespace
+
+std::string renderMetrics(Tier &Serving) {
+  std::string Text = Serving.metrics().render();
+  Text += metrics::formatSample(
+      "hickorycrank_configuration_revision", {},
+      static_cast<double>(Serving.configurationVersion().Number.Value));
+  for (const ServiceStatus &Status : Serving.status()) {
+    Text += renderService(Status);
+  }
+  return Text;
+}
+
+std::string renderStatus(Tier &Serving) {
+  json::array Services;
+  for (const ServiceStatus &Status : Serving.status()) {
+    Services.push_back(encodeService(Status));
+  }
+  config::ConfigurationVersion Version = Serving.configurationVersion();
+  json::object Body{{"instance", Serving.settings().Instance.Value},
+                    {"failure_domain", Serving.settings().Domain.Value},
+                    {"state", readinessName(Serving.State)},
+                    {"revision", Version.Number.Value},
+                    {"manifest_sha256", Version.ManifestSha256},
+                    {"services", std::move(Services)}};
+  return json::serialize(Body);
+}
+
+void handleAdmin(Tier &Serving, const net::HttpCall &Call) {
+  net::HttpResponse Response;
+  const std::string &Path = Call.Request.Path;
+  if (Path == "/live") {
+    Response.Body = R"({"live":true})";
+  } else if (Path == "/ready") {
+    bool Ready = Serving.State == Readiness::Ready;
+    Response.Status = Ready ? 200 : 503;
+    Response.Body =
+        std::string(R"({"state":")") + readinessName(Serving.State) + "\"}";
+  } else if (Path == "/metrics") {
+    Response.ContentType = "text/plain; version=0.0.4";
+    Response.Body = renderMetrics(Serving);
+  } else if (Path == "/status") {
+    Response.Body = renderStatus(Serving);
+  } else {
+    Response.Status = 404;
+    Response.Body = R"({"error":"use /live, /ready, /metrics or /status"})";
+  }
+  Call.Respond(std::move(Response));
+}
+
+} // namespace hickorycrank::daemon
--- /dev/null
+++ b/src/daemon/caller_api_func.cpp
@@ -0,0 +1,225 @@
+#include "daemon/caller_api_func.h"
+
+#include "base/digest_func.h"
+#include "config/binding_func.h"
+#include "daemon/log_func.h"
+#include "net/backend_codec_func.h"
+
+#include <charconv>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace hickorycrank::daemon {
+
+using base::Clock;
+using query::RanState;
+using query::Refusal;
+using query::RefusalKind;
+
+namespace {
+
+constexpr std::string_view QueryPrefix = "/v1/query/";
+constexpr std::string_view BearerPrefix = "Bearer ";
+constexpr std::chrono::milliseconds NotReadyRetry(500);
+constexpr std::chrono::milliseconds ShuttingDownRetry(50);
+
+/** A request on its way through the checks. */
+struct Incoming {
+  std::string RequestId;
+  std::string Template;
+  std::string Organisation;
+  base::TimePoint ArrivedAt;
+  std::function<void(net::HttpResponse)> Respond;
+};
+
+/**
+ * Responds, counts and logs.
+ * @param Serving The tier.
+ * @param Call The request.
+ * @param Result Its response.
+ */
+void finish(Tier &Serving, const Incoming &Call,
+            const query::Response &Result) {
+  metrics::Labels Series{{"template", Call.Template},
+                         {"organisation", Call.Organisation}};
+  base::Duration Latency = Clock::now() - Call.ArrivedAt;
+  LogFields Fields{
+      {"request_id", Call.RequestId},
+      {"template", Call.Template},
+      {"organisation", Call.Organisation},
+      {"latency_ms", std::to_string(base::toMilliseconds(Latency))}};
+  net::HttpResponse Response;
+  Response.Status = net::httpStatus(Result);
+  Response.Body = net::encodeResponse(Call.RequestId, Result);
+  if (const auto *Refused = std::get_if<Refusal>(&Result)) {
+    Fields["kind"] = toString(Refused->Kind);
+    Fields["ran"] = toString(Refused->Ran);
+    if (Refused->RetryAfter) {
+      Response.RetryAfterSeconds = static_cast<unsigned>(
+          std::chrono::ceil<std::chrono::seconds>(*Refused->RetryAfter)
+              .count());
+    }
+    Series["kind"] = toString(Refused->Kind);
+    Serving.metrics().add("hickorycrank_refusals", Series);
+    logEvent(LogLevel::Warning, "query.refused", Fields);
+  } else {
+    const auto &Answered = std::get<query::Answer>(Result);
+    Fields["snapshot"] = std::to_string(Answered.Snapshot.Value);
+    Fields["attempts"] = std::to_string(Answered.Attempts);
+    Serving.metrics().recordLatency("hickorycrank_answer_latency", Series,
+                                    Latency);
+    Serving.metrics().recordShare(
+        "hickorycrank_answer_coverage", Series,
+        static_cast<double>(Answered.Covered.Answered) /
+            static_cast<double>(Answered.Covered.Expected));
+    logEvent(LogLevel::Info, "query.answered", Fields);
+  }
+  Call.Respond(std::move(Response));
+}
+
+/**
+ * Responds with a refusal that no engine decided.
+ * @param Serving The tier.
+ * @param Call The request.
+ * @param Kind Kind of refusal.
+ * @param Remedy What the caller can do.
+ * @param RetryAfter When to come back, if it makes sense.
+ */
+void refuse(Tier &Serving, const Incoming &Call, RefusalKind Kind,
+            std::string Remedy,
+            std::optional<std::chrono::milliseconds> RetryAfter = {}) {
+  finish(Serving, Call,
+         Refusal{Kind, RanState::NotRun, RetryAfter, std::move(Remedy)});
+}
+
+/**
+ * Reads the caller's deadline.
+ * @param Headers Headers of the request.
+ * @param Default Deadline of the template.
+ * @return The shorter of both, or nothing if the header is not a number.
+ */
+std::optional<std::chrono::milliseconds>
+readDeadline(const std::map<std::string, std::string> &Headers,
+             std::chrono::milliseconds Default) {
+  auto Found = Headers.find("x-deadline-ms");
+  if (Found == Headers.end()) {
+    return Default;
+  }
+  const std::string &Text = Found->second;
+  int64_t Milliseconds = 0;
+  auto [End, Status] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Milliseconds);
+  if (Status != std::errc() || End != Text.data() + Text.size()) {
+    return std::nullopt;
+  }
+  return std::min(Default, std::chrono::milliseconds(Milliseconds));
+}
+
+/**
+ * Finds the organisation that sent a request.
+ * @param InForce Configuration in force.
+ * @param Headers Headers of the request.
+ * @return The organisation, or nullptr.
+ */
+std::shared_ptr<const config::OrganisationDoc>
+identify(const config::Configuration &InForce,
+         const std::map<std::string, std::string> &Headers) {
+  auto Found = Headers.find("authorization");
+  if (Found == Headers.end() || Found->second.rfind(BearerPrefix, 0) != 0) {
+    return nullptr;
+  }
+  return config::authenticate(
+      InForce, std::string_view(Found->second).substr(BearerPrefix.size()));
+}
+
+/**
+ * Runs a bound request.
+ * @param Serving The tier.
+ * @param Call The request as it arrived.
+ * @param Source The bound request.
+ * @param OnDisconnect Sets what to do when the caller goes away.
+ */
+void run(Tier &Serving, const Incoming &Call,
+         std::shared_ptr<const query::Request> Source,
+         const std::function<void(std::function<void()>)> &OnDisconnect) {
+  auto Shard = Serving.shard(Source->Template->Service);
+  if (!Shard) {
+    refuse(Serving, Call, RefusalKind::NoSnapshot,
+           "the backend service is not known yet; retry later", NotReadyRetry);
+    return;
+  }
+  base::QueryId Query = Shard->submit(
+      std::move(Source), [&Serving, Call](const query::Response &Result) {
+        finish(Serving, Call, Result);
+      });
+  OnDisconnect([Shard, Query] { Shard->cancel(Query); });
+}
+
+} // namespace
+
+void handleCaller(Tier &Serving, net::HttpCall Call) {
+  Incoming Arrived;
+  Arrived.RequestId = base::toString(base::randomAttemptId());
+  Arrived.ArrivedAt = Clock::now();
+  Arrived.Respond = std::move(Call.Respond);
+  if (Serving.State == Readiness::Draining) {
+    refuse(Serving, Arrived, RefusalKind::ShuttingDown,
+           "this instance stops; send it again on a new connection",
+           ShuttingDownRetry);
+    return;
+  }
+  auto InForce = Serving.configuration();
+  if (!InForce || Serving.State != Readiness::Ready) {
+    refuse(Serving, Arrived, RefusalKind::NotReady,
+           "this instance has no configuration yet; retry later",
+           NotReadyRetry);
+    return;
+  }
+  const net::HttpRequest &Request = Call.Request;
+  auto Organisation = identify(*InForce, Request.Headers);
+  if (!Organisation) {
+    refuse(Serving, Arrived, RefusalKind::Unauthorised,
+           "send Authorization: Bearer <organisation>:<key> with a valid key");
+    return;
+  }
+  Arrived.Organisation = Organisation->Name.Value;
+  bool IsQuery =
+      Request.Method == "POST" && Request.Path.rfind(QueryPrefix, 0) == 0;
+  base::TemplateId Name(IsQuery ? Request.Path.substr(QueryPrefix.size())
+                                : std::string());
+  auto Template = InForce->Templates.find(Name);
+  // The same refusal for a template of others: its existence is not revealed.
+  if (Template == InForce->Templates.end() ||
+      Organisation->Templates.count(Name) == 0) {
+    refuse(Serving, Arrived, RefusalKind::UnknownTemplate,
+           "POST to /v1/query/<template> with a template of your "
+           "organisation");
+    return;
+  }
+  Arrived.Template = Name.Value;
+  auto Limit = readDeadline(Request.Headers, Template->second->Deadline);
+  if (!Limit) {
+    refuse(Serving, Arrived, RefusalKind::BadRequest,
+           "X-Deadline-Ms must be a whole number of milliseconds");
+    return;
+  }
+  auto Bound =
+      config::bindParameters(*Template->second, *Organisation, Request.Body);
+  if (Bound.has_error()) {
+    refuse(Serving, Arrived, RefusalKind::BadRequest, Bound.error().Message);
+    return;
+  }
+  auto Source = std::make_shared<query::Request>();
+  Source->RequestId = Arrived.RequestId;
+  Source->Template = Template->second;
+  Source->Organisation = std::move(Organisation);
+  Source->Parameters = std::move(Bound.value());
+  Source->Deadline = Arrived.ArrivedAt + *Limit;
+  Source->DeadlineWall = std::chrono::floor<std::chrono::milliseconds>(
+                             std::chrono::system_clock::now()) +
+                         *Limit;
+  run(Serving, Arrived, std::move(Source), Call.OnDisconnect);
+}
+
+} // namespace hickorycrank::daemon
--- /dev/null
+++ b/src/daemon/instance_base.h
@@ -0,0 +1,75 @@
+#ifndef HICKORYCRANK_DAEMON_INSTANCE_BASE_H
+#define HICKORYCRANK_DAEMON_INSTANCE_BASE_H
+
+#include "base/timer_service_base.h"
+#include "config/document_type.h"
+#include "config/settings_type.h"
+#include "daemon/platform_reader_base.h"
+#include "daemon/tier_base.h"
+#include "net/http_server_base.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <mutex>
+
+namespace hickorycrank::daemon {
+
+/**
+ * One entry instance: servers for callers and operators, the platform's
+ * reader, the tier and the timer service. Runs on an io_context that its owner
+ * runs on as many threads as it likes.
+ */
+class Instance : public std::enable_shared_from_this<Instance> {
+public:
+  /**
+   * Binds the addresses; serves nothing yet.
+   * @param Context Runs everything.
+   * @param Own Settings of the process.
+   * @throws boost::system::system_error if an address cannot be bound.
+   */
+  Instance(boost::asio::io_context &Context, const config::Settings &Own);
+  ~Instance();
+  Instance(const Instance &) = delete;
+  Instance &operator=(const Instance &) = delete;
+
+  /** Starts to serve; ready once a configuration is in force. */
+  void start();
+
+  /**
+   * Stops gracefully: not ready at once, requests in progress finish, bounded
+   * by the longest deadline in force.
+   * @param Done Called once nothing is in progress.
+   */
+  void stop(std::function<void()> Done);
+
+  /** @return The tier. */
+  Tier &tier() { return this->Serving; }
+  /** @return Where callers connect. */
+  config::Endpoint callers() const { return this->CallerServer.endpoint(); }
+  /** @return Where operators connect. */
+  config::Endpoint admin() const { return this->AdminServer.endpoint(); }
+
+private:
+  void scheduleTick();
+  void onTexts(const config::ConfigurationTexts &Texts);
+  std::string findDocument(const std::string &Digest);
+  void waitUntilIdle(base::TimePoint Limit, std::function<void()> Done);
+
+  boost::asio::io_context &Context;
+  Tier Serving;
+  net::HttpServer CallerServer;
+  net::HttpServer AdminServer;
+  std::shared_ptr<PlatformReader> Reader;
+  base::TimerService Timers;
+  boost::asio::steady_timer TickTimer;
+  std::atomic<bool> Stopped{false};
+  std::mutex TextsMutex; ///< Guards InForceTexts.
+  config::ConfigurationTexts InForceTexts;
+};
+
+} // namespace hickorycrank::daemon
+
+#endif
--- /dev/null
+++ b/src/daemon/log_func.cpp
@@ -0,0 +1,42 @@
+#include "daemon/log_func.h"
+
+#include <boost/json.hpp>
+#include <chrono>
+#include <glog/logging.h>
+
+namespace hickorycrank::daemon {
+
+void initialiseLogging(const char *Program) {
+  // The JSON line carries time and level itself.
+  FLAGS_log_prefix = false;
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(Program);
+}
+
+void logEvent(LogLevel Level, const std::string &Event,
+              const LogFields &Fields) {
+  static constexpr const char *Names[] = {"info", "warning", "error"};
+  auto Now = std::chrono::floor<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  boost::json::object Line;
+  Line["time_ms"] = Now.time_since_epoch().count();
+  Line["level"] = Names[static_cast<size_t>(Level)];
+  Line["event"] = Event;
+  for (const auto &[Key, Value] : Fields) {
+    Line[Key] = Value;
+  }
+  std::string Text = boost::json::serialize(Line);
+  switch (Level) {
+  case LogLevel::Info:
+    LOG(INFO) << Text;
+    break;
+  case LogLevel::Warning:
+    LOG(WARNING) << Text;
+    break;
+  case LogLevel::Error:
+    LOG(ERROR) << Text;
+    break;
+  }
+}
+
+} // namespace hickorycrank::daemon
--- /dev/null
+++ b/src/daemon/platform_reader.cpp
@@ -0,0 +1,249 @@
+#include "daemon/platform_reader_base.h"
+
+#include "config/document_func.h"
+#include "daemon/log_func.h"
+#include "net/url_func.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace hickorycrank::daemon {
+
+using base::Clock;
+using base::Error;
+using base::ErrorKind;
+
+namespace {
+
+constexpr std::chrono::milliseconds WatchTime(20'000);
+constexpr std::chrono::milliseconds CallTimeout(3'000);
+constexpr std::chrono::milliseconds RetryDelay(500);
+/** Reading interval of an instance that gets changes from its peers. */
+constexpr std::chrono::milliseconds SeldomInterval(60'000);
+/** Connections to a replica: two watches and one for documents. */
+constexpr uint32_t ReplicaConnections = 3;
+constexpr const char *ManifestKey = "hickorycrank/manifest";
+constexpr const char *DocumentPrefix = "hickorycrank/doc/";
+
+/**
+ * Builds the path of a value.
+ * @param Key Key of the value.
+ * @param After Version that is already known.
+ * @param Wait How long the platform may hold the call.
+ * @return Path with query string.
+ */
+std::string valuePath(const std::string &Key, uint64_t After,
+                      std::chrono::milliseconds Wait) {
+  std::ostringstream Path;
+  Path << "/v1/value?key=" << net::encodePercent(Key) << "&after=" << After
+       << "&wait_ms=" << Wait.count();
+  return Path.str();
+}
+
+} // namespace
+
+PlatformReader::PlatformReader(boost::asio::io_context &Context,
+                               const std::vector<config::Endpoint> &Addresses,
+                               uint64_t Seed, PlatformCallbacks Callbacks)
+    : Context(Context), Callbacks(std::move(Callbacks)), Generator(Seed) {
+  net::PoolLimits Limits;
+  Limits.MaxConnections = ReplicaConnections;
+  for (const config::Endpoint &Address : Addresses) {
+    this->Replicas.push_back(
+        std::make_shared<net::HttpPool>(Context, Address, Limits));
+  }
+  this->Current = this->Generator.below(this->Replicas.size());
+}
+
+void PlatformReader::start() {
+  this->pollInstances();
+  this->pollManifest();
+}
+
+void PlatformReader::stop() {
+  this->Stopped = true;
+  std::lock_guard Lock(this->Mutex);
+  for (const auto &Timer : this->Timers) {
+    Timer->cancel();
+  }
+}
+
+void PlatformReader::setWatchesConfiguration(bool Watch) {
+  this->Watches = Watch;
+}
+
+std::chrono::milliseconds
+PlatformReader::jitter(std::chrono::milliseconds Span) {
+  std::lock_guard Lock(this->Mutex);
+  auto Count = static_cast<uint64_t>(Span.count());
+  return std::chrono::milliseconds(Count / 2 + this->Generator.below(Count));
+}
+
+void PlatformReader::later(std::chrono::milliseconds Delay,
+                           std::function<void()> Callback) {
+  if (this->Stopped) {
+    return;
+  }
+  auto Timer = std::make_shared<boost::asio::steady_timer>(this->Context);
+  Timer->expires_after(Delay);
+  {
+    std::lock_guard Lock(this->Mutex);
+    this->Timers.insert(Timer);
+  }
+  Timer->async_wait(
+      [Self = this->shared_from_this(), Timer,
+       Callback = std::move(Callback)](boost::system::error_code Failure) {
+        {
+          std::lock_guard Lock(Self->Mutex);
+          Self->Timers.erase(Timer);
+        }
+        if (!Failure && !Self->Stopped) {
+          Callback();
+        }
+      });
+}
+
+void PlatformReader::get(const std::string &Path,
+                         std::chrono::milliseconds Timeout,
+                         std::function<void(base::Result<std::string>)> Done) {
+  if (this->Stopped) {
+    return;
+  }
+  ++this->Calls;
+  net::HttpRequest Request;
+  Request.Path = Path;
+  size_t Replica = this->Current;
+  this->Replicas[Replica]->send(
+      std::move(Request), Clock::now() + Timeout, false,
+      [Self = this->shared_from_this(), Replica,
+       Done = std::move(Done)](net::ExchangeResult Result) {
+        if (Self->Stopped) {
+          return;
+        }
+        auto *Response = std::get_if<net::HttpResponse>(&Result);
+        if (Response != nullptr && Response->Status == 200) {
+          Done(std::move(Response->Body));
+          return;
+        }
+        Self->Current = (Replica + 1) % Self->Replicas.size();
+        Done(Error{ErrorKind::Unreachable, "the platform does not answer"});
+      });
+}
+
+void PlatformReader::pollInstances() {
+  uint64_t After = 0;
+  {
+    std::lock_guard Lock(this->Mutex);
+    After = this->ListVersion;
+  }
+  std::ostringstream Path;
+  Path << "/v1/instances?after=" << After << "&wait_ms=" << WatchTime.count();
+  this->get(Path.str(), WatchTime + CallTimeout,
+            [Self = this->shared_from_this()](base::Result<std::string> Body) {
+              if (Body.has_error()) {
+                Self->later(Self->jitter(RetryDelay),
+                            [Self] { Self->pollInstances(); });
+                return;
+              }
+              auto List = net::decodeInstances(Body.value());
+              if (List.has_error()) {
+                logEvent(LogLevel::Warning, "platform.bad_list",
+                         {{"error", List.error().Message}});
+                Self->later(Self->jitter(RetryDelay),
+                            [Self] { Self->pollInstances(); });
+                return;
+              }
+              {
+                std::lock_guard Lock(Self->Mutex);
+                Self->ListVersion =
+                    std::max(Self->ListVersion, List.value().Version);
+              }
+              Self->Callbacks.OnInstances(std::move(List.value()));
+              Self->later(std::chrono::milliseconds(1),
+                          [Self] { Self->pollInstances(); });
+            });
+}
+
+void PlatformReader::pollManifest() {
+  uint64_t After = 0;
+  {
+    std::lock_guard Lock(this->Mutex);
+    After = this->ManifestVersion;
+  }
+  bool Watch = this->Watches;
+  std::chrono::milliseconds Wait =
+      Watch ? WatchTime : std::chrono::milliseconds(0);
+  this->get(
+      valuePath(ManifestKey, After, Wait), Wait + CallTimeout,
+      [Self = this->shared_from_this(), Watch](base::Result<std::string> Body) {
+        if (Body.has_error()) {
+          Self->later(Self->jitter(RetryDelay),
+                      [Self] { Self->pollManifest(); });
+          return;
+        }
+        auto Value = net::decodeValue(Body.value());
+        if (Value.has_value() && !Value.value().Text.empty()) {
+          Self->onManifest(Value.value());
+        }
+        Self->later(Watch ? std::chrono::milliseconds(1)
+                          : Self->jitter(SeldomInterval),
+                    [Self] { Self->pollManifest(); });
+      });
+}
+
+void PlatformReader::onManifest(const net::PlatformValue &Value) {
+  {
+    std::lock_guard Lock(this->Mutex);
+    if (Value.Version <= this->ManifestVersion) {
+      this->Read = true;
+      return;
+    }
+    this->ManifestVersion = Value.Version;
+  }
+  auto Listed = config::parseManifest(Value.Text);
+  if (Listed.has_error()) {
+    logEvent(LogLevel::Error, "configuration.refused",
+             {{"error", Listed.error().Message}});
+    return;
+  }
+  auto Pending = std::make_shared<Fetch>();
+  Pending->Texts.Manifest = Value.Text;
+  for (const config::DocumentRef &Ref : Listed.value().Documents) {
+    std::string Known = this->Callbacks.FindDocument(Ref.Sha256);
+    if (!Known.empty()) {
+      Pending->Texts.Documents[Ref.Sha256] = std::move(Known);
+    } else {
+      Pending->Missing.push_back(Ref.Sha256);
+    }
+  }
+  Pending->Listed = std::move(Listed.value());
+  this->fetchNext(Pending);
+}
+
+void PlatformReader::fetchNext(const std::shared_ptr<Fetch> &Pending) {
+  if (Pending->Missing.empty()) {
+    this->Read = true;
+    this->Callbacks.OnConfiguration(std::move(Pending->Texts));
+    return;
+  }
+  std::string Digest = Pending->Missing.back();
+  this->get(valuePath(DocumentPrefix + Digest, 0, std::chrono::milliseconds(0)),
+            CallTimeout,
+            [Self = this->shared_from_this(), Pending,
+             Digest](base::Result<std::string> Body) {
+              auto Value = Body.has_value()
+                               ? net::decodeValue(Body.value())
+                               : base::Result<net::PlatformValue>(Body.error());
+              if (Value.has_error() || Value.value().Text.empty()) {
+                Self->later(Self->jitter(RetryDelay),
+                            [Self, Pending] { Self->fetchNext(Pending); });
+                return;
+              }
+              Pending->Texts.Documents[Digest] = std::move(Value.value().Text);
+              Pending->Missing.pop_back();
+              Self->fetchNext(Pending);
+            });
+}
+
+} // namespace hickorycrank::daemon
--- /dev/null
+++ b/src/daemon/platform_reader_base.h
@@ -0,0 +1,102 @@
+#ifndef HICKORYCRANK_DAEMON_PLATFORM_READER_BASE_H
+#define HICKORYCRANK_DAEMON_PLATFORM_READER_BASE_H
+
+#include "base/error_type.h"
+#include "base/random_base.h"
+#include "config/document_type.h"
+#include "config/settings_type.h"
+#include "net/backend_codec_func.h"
+#include "net/http_pool_base.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hickorycrank::daemon {
+
+/** What the reader tells its owner. Called without locks held. */
+struct PlatformCallbacks {
+  /** A whole set of texts under one manifest, not validated yet. */
+  std::function<void(config::ConfigurationTexts)> OnConfiguration;
+  std::function<void(net::InstanceList)> OnInstances;
+  /** Looks up a document that is already known, by digest. */
+  std::function<std::string(const std::string &)> FindDocument;
+};
+
+/**
+ * Watches the platform's configuration service and its list of instances. Each
+ * watch is one long poll at a time; failures are retried with jitter, on the
+ * next replica, so that readers do not return all at once after an outage.
+ */
+class PlatformReader : public std::enable_shared_from_this<PlatformReader> {
+public:
+  /**
+   * Creates a reader that does not watch yet.
+   * @param Context Runs the reader.
+   * @param Replicas Addresses of the platform's replicas.
+   * @param Seed For jitter.
+   * @param Callbacks What to tell the owner.
+   */
+  PlatformReader(boost::asio::io_context &Context,
+                 const std::vector<config::Endpoint> &Replicas, uint64_t Seed,
+                 PlatformCallbacks Callbacks);
+
+  /** Begins to watch the list of instances and the configuration. */
+  void start();
+
+  /** Stops watching; no callback is started afterwards. */
+  void stop();
+
+  /**
+   * Chooses between watching the configuration and reading it seldom.
+   * @param Watch Whether to watch it.
+   */
+  void setWatchesConfiguration(bool Watch);
+
+  /** @return Calls to the platform so far. */
+  uint64_t calls() const { return this->Calls; }
+  /** @return Whether the platform has ever answered for the configuration. */
+  bool hasRead() const { return this->Read; }
+
+private:
+  /** A configuration whose documents are being read. */
+  struct Fetch {
+    config::Manifest Listed;
+    config::ConfigurationTexts Texts;
+    std::vector<std::string> Missing; ///< Digests still to read.
+  };
+
+  void get(const std::string &Path, std::chrono::milliseconds Timeout,
+           std::function<void(base::Result<std::string>)> Done);
+  void pollInstances();
+  void pollManifest();
+  void onManifest(const net::PlatformValue &Value);
+  void fetchNext(const std::shared_ptr<Fetch> &Pending);
+  void later(std::chrono::milliseconds Delay, std::function<void()> Callback);
+  std::chrono::milliseconds jitter(std::chrono::milliseconds Span);
+
+  boost::asio::io_context &Context;
+  std::vector<std::shared_ptr<net::HttpPool>> Replicas;
+  PlatformCallbacks Callbacks;
+  std::atomic<uint64_t> Calls{0};
+  std::atomic<bool> Read{false};
+  std::atomic<bool> Stopped{false};
+  std::atomic<bool> Watches{true};
+  std::atomic<size_t> Current{0};
+  std::mutex Mutex; ///< Guards the members below.
+  base::Random Generator;
+  uint64_t ManifestVersion = 0;
+  uint64_t ListVersion = 0;
+  std::set<std::shared_ptr<boost::asio::steady_timer>> Timers;
+};
+
+} // namespace hickorycrank::daemon
+
+#endif
--- /dev/null
+++ b/src/daemon/service_shard.cpp
@@ -0,0 +1,376 @@
+#include "daemon/service_shard_base.h"
+
+#include "base/digest_func.h"
+#include "config/settings_func.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace hickorycrank::daemon {
+
+using base::Clock;
+using net::ExchangeError;
+using net::ExchangeFault;
+using net::ExchangeStage;
+using net::HttpResponse;
+
+namespace {
+
+constexpr std::chrono::milliseconds ProbeTimeout(1'000);
+constexpr std::chrono::milliseconds CancelTimeout(500);
+/** Part of the attempt's time that is kept for the way back. */
+constexpr std::chrono::milliseconds ReturnTime(2);
+constexpr uint32_t ControlConnections = 1;
+
+/**
+ * Maps a failed exchange to the engine's terms.
+ * @param Reason The failure.
+ * @return The kind of failure.
+ */
+query::FailureKind toFailure(const ExchangeError &Reason) {
+  if (Reason.Stage == ExchangeStage::Connecting) {
+    return Reason.Fault == ExchangeFault::Refused
+               ? query::FailureKind::ConnectRefused
+               : query::FailureKind::ConnectTimeout;
+  }
+  return Reason.Fault == ExchangeFault::Garbage ? query::FailureKind::Garbage
+                                                : query::FailureKind::Reset;
+}
+
+/**
+ * Names a phase in the status.
+ * @param Phase The phase.
+ * @return Lower-case name.
+ */
+const char *phaseName(routing::ServerPhase Phase) {
+  static constexpr const char *Names[] = {"unknown", "live", "down", "leaving",
+                                          "gone"};
+  return Names[static_cast<size_t>(Phase)];
+}
+
+} // namespace
+
+ServiceShard::ServiceShard(boost::asio::io_context &Context,
+                           const config::ServiceDoc &Doc,
+                           query::EngineOptions Options, FactCallback OnFact)
+    : Context(Context), Name(Doc.Name), OnFact(std::move(OnFact)),
+      Engine(std::move(Options)) {
+  this->WorkLimits.ConnectTimeout =
+      std::max(Doc.ConnectTime * 20, std::chrono::milliseconds(100));
+}
+
+base::QueryId ServiceShard::submit(std::shared_ptr<const query::Request> Source,
+                                   Callback Done) {
+  query::Actions Decided;
+  base::QueryId Query;
+  {
+    std::lock_guard Lock(this->Mutex);
+    Query = base::QueryId(this->NextQuery++);
+    this->Callbacks.emplace(Query, std::move(Done));
+    this->Engine.onRequest(Clock::now(), Query, std::move(Source), Decided);
+    this->enqueue(std::move(Decided));
+  }
+  this->drainOutbox();
+  return Query;
+}
+
+void ServiceShard::cancel(base::QueryId Query) {
+  {
+    std::lock_guard Lock(this->Mutex);
+    query::Actions Decided;
+    this->Callbacks.erase(Query);
+    this->Engine.onCancel(Clock::now(), Query, Decided);
+    this->enqueue(std::move(Decided));
+  }
+  this->drainOutbox();
+}
+
+void ServiceShard::tick(const base::Tick &Event) {
+  {
+    std::lock_guard Lock(this->Mutex);
+    query::Actions Decided;
+    if (Event.Pause) {
+      this->Engine.onPause(Event.Now, Decided);
+    }
+    this->Engine.onTick(Event.Now, Decided);
+    this->enqueue(std::move(Decided));
+  }
+  this->drainOutbox();
+}
+
+void ServiceShard::refreshReports() {
+  {
+    std::lock_guard Lock(this->Mutex);
+    query::Actions Decided;
+    const auto &Servers = this->Engine.directory().servers();
+    for (uint32_t I = 0; I < Servers.size(); ++I) {
+      if (Servers[I].Phase != routing::ServerPhase::Gone) {
+        Decided.emplace_back(
+            query::ProbeServer{base::ServerIndex(I), Servers[I].Address});
+      }
+    }
+    this->enqueue(std::move(Decided));
+  }
+  this->drainOutbox();
+}
+
+void ServiceShard::applyList(
+    const std::vector<routing::ServerListing> &Listed) {
+  {
+    std::lock_guard Lock(this->Mutex);
+    query::Actions Decided;
+    this->Engine.onServerList(Clock::now(), Listed, Decided);
+    this->enqueue(std::move(Decided));
+  }
+  this->drainOutbox();
+}
+
+void ServiceShard::applyFact(const query::PublishFact &Fact) {
+  {
+    std::lock_guard Lock(this->Mutex);
+    query::Actions Decided;
+    this->Engine.onFact(Clock::now(), Fact, Decided);
+    this->enqueue(std::move(Decided));
+  }
+  this->drainOutbox();
+}
+
+void ServiceShard::setConnectionShare(uint32_t Share) {
+  uint32_t Work = Share > ControlConnections ? Share - ControlConnections : 1;
+  {
+    std::lock_guard Lock(this->Mutex);
+    this->Engine.setConnectionShare(Work);
+  }
+  std::lock_guard Lock(this->LinksMutex);
+  this->WorkLimits.MaxConnections = Work;
+  for (auto &[Address, Entry] : this->Links) {
+    Entry.Work->setMaxConnections(Work);
+  }
+}
+
+ServiceStatus ServiceShard::status() const {
+  ServiceStatus Status;
+  std::lock_guard Lock(this->Mutex);
+  std::lock_guard LinksLock(this->LinksMutex);
+  Status.Service = this->Name.Value;
+  Status.LiveQueries = this->Engine.liveQueries();
+  Status.Waiting = this->Engine.waiting();
+  Status.HedgeDelayMs = base::toMilliseconds(this->Engine.hedgeDelay());
+  Status.Counters = this->Engine.counters();
+  for (const routing::ServerState &Server :
+       this->Engine.directory().servers()) {
+    auto Found = this->Links.find(Server.Address);
+    size_t Connections = Found == this->Links.end()
+                             ? 0
+                             : Found->second.Work->connections() +
+                                   Found->second.Control->connections();
+    Status.Servers.push_back({Server.Id.Value, phaseName(Server.Phase),
+                              Server.Outstanding, Server.Latency,
+                              Server.SuccessRate, Server.Limit, Connections});
+  }
+  return Status;
+}
+
+void ServiceShard::enqueue(query::Actions &&Decided) {
+  for (query::Action &Entry : Decided) {
+    this->Outbox.push_back(std::move(Entry));
+  }
+}
+
+void ServiceShard::drainOutbox() {
+  while (true) {
+    std::deque<query::Action> Batch;
+    {
+      std::lock_guard Lock(this->Mutex);
+      if (this->OutboxBusy || this->Outbox.empty()) {
+        return;
+      }
+      this->OutboxBusy = true;
+      Batch.swap(this->Outbox);
+    }
+    for (query::Action &Entry : Batch) {
+      std::visit([this](auto &Order) { this->perform(Order); }, Entry);
+    }
+    std::lock_guard Lock(this->Mutex);
+    this->OutboxBusy = false;
+  }
+}
+
+ServiceShard::ServerLink &ServiceShard::link(const std::string &Address) {
+  ServerLink &Entry = this->Links[Address];
+  if (!Entry.Work) {
+    config::Endpoint Target =
+        config::parseEndpoint(Address).value_or(config::Endpoint{});
+    Entry.Work = std::make_shared<net::HttpPool>(this->Context, Target,
+                                                 this->WorkLimits);
+    net::PoolLimits ControlLimits = this->WorkLimits;
+    ControlLimits.MaxConnections = ControlConnections;
+    ControlLimits.MaxOpening = ControlConnections;
+    Entry.Control =
+        std::make_shared<net::HttpPool>(this->Context, Target, ControlLimits);
+  }
+  return Entry;
+}
+
+void ServiceShard::perform(query::SendAttempt &Attempt) {
+  base::TimePoint Deadline = Attempt.Source->Deadline;
+  net::HttpRequest Request;
+  Request.Method = "POST";
+  Request.Path = "/v1/search";
+  Request.Body =
+      net::encodeSearch(Attempt, Deadline - Clock::now() - ReturnTime);
+  Request.ExpectInReply = base::toString(Attempt.Id);
+  std::lock_guard Lock(this->LinksMutex);
+  std::shared_ptr<net::HttpPool> Pool = this->link(Attempt.Address).Work;
+  auto Self = this->shared_from_this();
+  // The callback is posted: the pool may call it before send() returns.
+  net::ExchangeId Exchange = Pool->send(
+      std::move(Request), Deadline, Attempt.FreshConnection,
+      [Self, Ref = Attempt.Ref, Id = Attempt.Id,
+       OrderBy = Attempt.Source->Template->OrderBy](
+          net::ExchangeResult Result) mutable {
+        boost::asio::post(
+            Self->Context, [Self, Ref, Id, OrderBy = std::move(OrderBy),
+                            Result = std::move(Result)]() mutable {
+              Self->onSearchDone(Ref, Id, OrderBy, std::move(Result));
+            });
+      });
+  this->Exchanges[Attempt.Id] = {std::move(Pool), Exchange};
+}
+
+void ServiceShard::perform(query::CancelAttempt &Attempt) {
+  ExchangeRecord Record;
+  std::shared_ptr<net::HttpPool> Control;
+  {
+    std::lock_guard Lock(this->LinksMutex);
+    auto Found = this->Exchanges.find(Attempt.Id);
+    if (Found == this->Exchanges.end()) {
+      return;
+    }
+    Record = std::move(Found->second);
+    this->Exchanges.erase(Found);
+    for (auto &[Address, Entry] : this->Links) {
+      if (Entry.Work == Record.Pool) {
+        Control = Entry.Control;
+      }
+    }
+  }
+  bool TimedOut = Attempt.Reason == query::CancelReason::TimedOut;
+  Record.Pool->cancel(Record.Exchange, TimedOut);
+  if (!Control) {
+    return;
+  }
+  net::HttpRequest Request;
+  Request.Method = "POST";
+  Request.Path = "/v1/cancel";
+  Request.Body = R"({"attempt":")" + base::toString(Attempt.Id) + "\"}";
+  Control->send(std::move(Request), Clock::now() + CancelTimeout, false,
+                [](const net::ExchangeResult &) {});
+}
+
+void ServiceShard::perform(query::CloseConnections &Order) {
+  std::lock_guard Lock(this->LinksMutex);
+  this->link(Order.Address).Work->retireAll();
+}
+
+void ServiceShard::perform(query::ProbeServer &Order) {
+  std::shared_ptr<net::HttpPool> Control;
+  {
+    std::lock_guard Lock(this->LinksMutex);
+    Control = this->link(Order.Address).Control;
+  }
+  net::HttpRequest Request;
+  Request.Path = "/v1/report";
+  Control->send(std::move(Request), Clock::now() + ProbeTimeout, false,
+                [Self = this->shared_from_this(),
+                 Server = Order.Server](net::ExchangeResult Result) mutable {
+                  boost::asio::post(
+                      Self->Context,
+                      [Self, Server, Result = std::move(Result)]() mutable {
+                        Self->onProbeDone(Server, std::move(Result));
+                      });
+                });
+}
+
+void ServiceShard::perform(query::Respond &Order) {
+  Callback Done;
+  {
+    std::lock_guard Lock(this->Mutex);
+    auto Found = this->Callbacks.find(Order.Query);
+    if (Found == this->Callbacks.end()) {
+      return;
+    }
+    Done = std::move(Found->second);
+    this->Callbacks.erase(Found);
+  }
+  boost::asio::post(
+      this->Context,
+      [Done = std::move(Done), Result = std::move(Order.Result)]() mutable {
+        Done(std::move(Result));
+      });
+}
+
+void ServiceShard::perform(query::PublishFact &Order) {
+  if (this->OnFact) {
+    this->OnFact(Order);
+  }
+}
+
+void ServiceShard::onSearchDone(const query::AttemptRef &Ref,
+                                base::AttemptId Id, const std::string &OrderBy,
+                                net::ExchangeResult Result) {
+  {
+    std::lock_guard Lock(this->LinksMutex);
+    this->Exchanges.erase(Id);
+  }
+  query::Actions Decided;
+  const auto *Response = std::get_if<HttpResponse>(&Result);
+  base::Result<query::Reply> Decoded =
+      Response != nullptr
+          ? net::decodeReply(Response->Body, OrderBy)
+          : base::Error{base::ErrorKind::Unreachable, "no reply"};
+  {
+    std::lock_guard Lock(this->Mutex);
+    if (Decoded.has_value()) {
+      this->Engine.onReply(Clock::now(), Ref, std::move(Decoded.value()),
+                           Decided);
+    } else if (Response != nullptr) {
+      this->Engine.onAttemptFailed(Clock::now(), Ref,
+                                   query::FailureKind::Garbage, true, Decided);
+    } else {
+      const auto &Reason = std::get<ExchangeError>(Result);
+      this->Engine.onAttemptFailed(Clock::now(), Ref, toFailure(Reason),
+                                   Reason.Stage == ExchangeStage::Sent,
+                                   Decided);
+    }
+    this->enqueue(std::move(Decided));
+  }
+  this->drainOutbox();
+}
+
+void ServiceShard::onProbeDone(base::ServerIndex Server,
+                               net::ExchangeResult Result) {
+  const auto *Response = std::get_if<HttpResponse>(&Result);
+  base::Result<routing::ServerReport> Report =
+      Response != nullptr
+          ? net::decodeReport(Response->Body)
+          : base::Error{base::ErrorKind::Unreachable, "no report"};
+  {
+    std::lock_guard Lock(this->Mutex);
+    query::Actions Decided;
+    if (Report.has_value()) {
+      this->Engine.onServerReport(Clock::now(), Report.value(), Decided);
+    } else if (Response == nullptr) {
+      const auto &Reason = std::get<ExchangeError>(Result);
+      bool Refused = Reason.Stage == ExchangeStage::Connecting &&
+                     Reason.Fault == ExchangeFault::Refused;
+      if (Refused) {
+        this->Engine.onProbeFailed(Clock::now(), Server, Decided);
+      }
+    }
+    this->enqueue(std::move(Decided));
+  }
+  this->drainOutbox();
+}
+
+} // namespace hickorycrank::daemon
--- /dev/null
+++ b/src/daemon/tier.cpp
@@ -0,0 +1,175 @@
+#include "daemon/tier_base.h"
+
+#include "base/digest_func.h"
+#include "config/acceptance_func.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorycrank::daemon {
+
+using base::Clock;
+
+Tier::Tier(boost::asio::io_context &Context, const config::Settings &Own,
+           ServiceShard::FactCallback OnFact)
+    : Context(Context), Own(Own), OnFact(std::move(OnFact)) {}
+
+config::Acceptance
+Tier::offerConfiguration(std::shared_ptr<const config::Configuration> Offered) {
+  std::vector<std::pair<std::shared_ptr<ServiceShard>, uint32_t>> Shares;
+  net::InstanceList Known;
+  config::Acceptance Verdict{};
+  {
+    std::lock_guard Lock(this->Mutex);
+    config::ConfigurationVersion Current;
+    if (this->InForce) {
+      Current = {this->InForce->Number, this->InForce->ManifestSha256};
+    }
+    Verdict = config::judgeVersion(Current,
+                                   {Offered->Number, Offered->ManifestSha256});
+    if (!config::takesOffer(Verdict)) {
+      return Verdict;
+    }
+    this->InForce = std::move(Offered);
+    for (const auto &[Id, Doc] : this->InForce->Services) {
+      std::shared_ptr<ServiceShard> &Shard = this->Shards[Id];
+      if (!Shard) {
+        // Equal seeds on all instances would make them choose alike.
+        uint64_t Seed = base::stableHash(Id.Value + this->Own.Instance.Value) ^
+                        base::randomAttemptId().Low;
+        Shard = std::make_shared<ServiceShard>(
+            this->Context, *Doc,
+            query::EngineBuilder()
+                .domain(this->Own.Domain)
+                .slotsPerServer(Doc->Slots)
+                .maxWaiting(this->Own.MaxWaiting)
+                .seed(Seed)
+                .attemptIds(base::randomAttemptId)
+                .build(),
+            this->OnFact);
+      }
+      Shares.emplace_back(Shard, limits::connectionShare(Doc->ConnectionCap,
+                                                         Doc->PlannedInstances,
+                                                         this->Instances));
+    }
+    Known = this->Listed;
+  }
+  for (const auto &[Shard, Share] : Shares) {
+    Shard->setConnectionShare(Share);
+  }
+  this->applyInstances(Known);
+  return Verdict;
+}
+
+std::shared_ptr<const config::Configuration> Tier::configuration() const {
+  std::lock_guard Lock(this->Mutex);
+  return this->InForce;
+}
+
+config::ConfigurationVersion Tier::configurationVersion() const {
+  std::lock_guard Lock(this->Mutex);
+  if (!this->InForce) {
+    return {};
+  }
+  return {this->InForce->Number, this->InForce->ManifestSha256};
+}
+
+void Tier::applyInstances(const net::InstanceList &List) {
+  struct Update {
+    std::shared_ptr<ServiceShard> Shard;
+    std::vector<routing::ServerListing> Servers;
+    uint32_t Share = 1;
+  };
+  std::vector<Update> Updates;
+  {
+    std::lock_guard Lock(this->Mutex);
+    if (List.Version < this->Listed.Version) {
+      return; // A stale replica of the platform answered.
+    }
+    this->Listed = List;
+    auto IsLiveEntry = [](const net::InstanceListing &Entry) {
+      return Entry.Kind == "entry" && !Entry.Server.Leaving;
+    };
+    auto Live = static_cast<uint32_t>(
+        std::count_if(List.Entries.begin(), List.Entries.end(), IsLiveEntry));
+    limits::recordInstances(this->Instances, Clock::now(), std::max(Live, 1U));
+    for (const auto &[Id, Shard] : this->Shards) {
+      Update Entry;
+      Entry.Shard = Shard;
+      for (const net::InstanceListing &Listing : List.Entries) {
+        if (Listing.Kind == "backend" && Listing.Service == Id) {
+          Entry.Servers.push_back(Listing.Server);
+        }
+      }
+      auto Doc = this->InForce->Services.find(Id);
+      if (Doc != this->InForce->Services.end()) {
+        Entry.Share = limits::connectionShare(Doc->second->ConnectionCap,
+                                              Doc->second->PlannedInstances,
+                                              this->Instances);
+      }
+      Updates.push_back(std::move(Entry));
+    }
+  }
+  if (List.Version == 0) {
+    return; // Nothing has been listed yet.
+  }
+  for (const Update &Entry : Updates) {
+    Entry.Shard->setConnectionShare(Entry.Share);
+    Entry.Shard->applyList(Entry.Servers);
+  }
+}
+
+std::shared_ptr<ServiceShard>
+Tier::shard(const base::ServiceId &Service) const {
+  std::lock_guard Lock(this->Mutex);
+  auto Found = this->Shards.find(Service);
+  return Found == this->Shards.end() ? nullptr : Found->second;
+}
+
+std::vector<std::shared_ptr<ServiceShard>> Tier::shards() const {
+  std::vector<std::shared_ptr<ServiceShard>> All;
+  std::lock_guard Lock(this->Mutex);
+  for (const auto &[Id, Shard] : this->Shards) {
+    All.push_back(Shard);
+  }
+  return All;
+}
+
+void Tier::tick(const base::Tick &Event) {
+  for (const auto &Shard : this->shards()) {
+    Shard->tick(Event);
+  }
+}
+
+void Tier::refreshReports() {
+  for (const auto &Shard : this->shards()) {
+    Shard->refreshReports();
+  }
+}
+
+void Tier::applyFact(const query::PublishFact &Fact) {
+  for (const auto &Shard : this->shards()) {
+    Shard->applyFact(Fact);
+  }
+}
+
+std::vector<ServiceStatus> Tier::status() const {
+  std::vector<ServiceStatus> All;
+  for (const auto &Shard : this->shards()) {
+    All.push_back(Shard->status());
+  }
+  return All;
+}
+
+std::chrono::milliseconds Tier::longestDeadline() const {
+  std::chrono::milliseconds Longest(0);
+  std::lock_guard Lock(this->Mutex);
+  if (this->InForce) {
+    for (const auto &[Id, Template] : this->InForce->Templates) {
+      Longest = std::max(Longest, Template->Deadline);
+    }
+  }
+  return Longest;
+}
+
+} // namespace hickorycrank::daemon
--- /dev/null
+++ b/src/net/http_type.h
@@ -0,0 +1,54 @@
+#ifndef HICKORYCRANK_NET_HTTP_TYPE_H
+#define HICKORYCRANK_NET_HTTP_TYPE_H
+
+#include "base/error_type.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace hickorycrank::net {
+
+/** A request as HTTP servers and clients of this project see it. */
+struct HttpRequest {
+  std::string Method = "GET";
+  std::string Path;                           ///< Without the query string.
+  std::map<std::string, std::string> Query;   ///< Decoded query parameters.
+  std::map<std::string, std::string> Headers; ///< Names in lower case.
+  std::string Body;
+  /** Clients: unless the reply holds this text, its connection is closed. */
+  std::string ExpectInReply;
+};
+
+/** A response. */
+struct HttpResponse {
+  unsigned Status = 200;
+  std::string ContentType = "application/json";
+  std::string Body;
+  bool Close = false;             ///< Close the connection after it.
+  unsigned RetryAfterSeconds = 0; ///< Sent as Retry-After unless 0.
+};
+
+/** How far an exchange got when it failed. */
+enum class ExchangeStage {
+  Connecting, ///< No byte of the request has left.
+  Sent,       ///< Some byte may have left.
+};
+
+/** Why an exchange failed. */
+enum class ExchangeFault {
+  Refused, ///< Nothing listens at the address.
+  Timeout, ///< No connection or reply in time.
+  Reset,   ///< The connection was closed or broke.
+  Garbage, ///< The reply was not valid HTTP or too large.
+};
+
+/** A failed exchange. */
+struct ExchangeError {
+  ExchangeStage Stage = ExchangeStage::Connecting;
+  ExchangeFault Fault = ExchangeFault::Refused;
+};
+
+} // namespace hickorycrank::net
+
+#endif
--- /dev/null
+++ b/src/query/quarantine.cpp
@@ -0,0 +1,65 @@
+#include "query/quarantine_base.h"
+
+namespace hickorycrank::query {
+
+using base::Fingerprint;
+using base::TimePoint;
+
+Quarantine::Quarantine(base::Duration QuarantineTime)
+    : QuarantineTime(QuarantineTime) {}
+
+void Quarantine::recordCrash(TimePoint Now,
+                             std::span<const Fingerprint> InFlight) {
+  for (Fingerprint Request : InFlight) {
+    State &Entry = this->Requests[Request];
+    ++Entry.Crashes;
+    Entry.LastCrash = Now;
+    // A request that shared the server with others is only a suspect, however
+    // often that happens: a busy innocent one must not be refused.
+    if (Entry.Crashes >= MaxCrashes && InFlight.size() == 1) {
+      Entry.QuarantinedUntil = Now + this->QuarantineTime;
+    }
+  }
+}
+
+void Quarantine::clear(Fingerprint Request) { this->Requests.erase(Request); }
+
+void Quarantine::quarantine(TimePoint Until, Fingerprint Request) {
+  State &Entry = this->Requests[Request];
+  Entry.Crashes = MaxCrashes;
+  Entry.LastCrash = Until - this->QuarantineTime;
+  Entry.QuarantinedUntil = Until;
+}
+
+bool Quarantine::isSuspect(Fingerprint Request) const {
+  return this->Requests.count(Request) != 0;
+}
+
+std::optional<TimePoint>
+Quarantine::quarantinedUntil(TimePoint Now, Fingerprint Request) const {
+  auto Found = this->Requests.find(Request);
+  if (Found == this->Requests.end() || Found->second.QuarantinedUntil <= Now) {
+    return std::nullopt;
+  }
+  return Found->second.QuarantinedUntil;
+}
+
+void Quarantine::recordShape(Fingerprint Shape) {
+  if (this->Shapes.size() < MaxShapes) {
+    this->Shapes.insert(Shape);
+  }
+}
+
+bool Quarantine::knowsShape(Fingerprint Shape) const {
+  return this->Shapes.count(Shape) != 0;
+}
+
+void Quarantine::expire(TimePoint Now) {
+  for (auto It = this->Requests.begin(); It != this->Requests.end();) {
+    bool Expired = It->second.LastCrash + this->QuarantineTime <= Now &&
+                   It->second.QuarantinedUntil <= Now;
+    It = Expired ? this->Requests.erase(It) : std::next(It);
+  }
+}
+
+} // namespace hickorycrank::query
--- /dev/null
+++ b/src/routing/selection_func.cpp
@@ -0,0 +1,182 @@
+#include "routing/selection_func.h"
+
+#include "base/digest_func.h"
+#include "routing/server_func.h"
+
+#include <algorithm>
+#include <array>
+
+namespace hickorycrank::routing {
+
+using base::ServerIndex;
+using base::ShardIndex;
+using base::TimePoint;
+
+namespace {
+
+/** Replicas of a shard that are considered; more are not needed to balance. */
+constexpr size_t MaxCandidates = 16;
+
+/** A fixed-capacity list: no allocation on the path of each attempt. */
+struct Candidates {
+  std::array<ServerIndex, MaxCandidates> Items;
+  size_t Count = 0;
+
+  /** @param Index Added unless the list is full. */
+  void add(ServerIndex Index) {
+    if (this->Count < MaxCandidates) {
+      this->Items[this->Count++] = Index;
+    }
+  }
+};
+
+/**
+ * Counts the needed shards that some usable server holds.
+ * @param Servers Directory.
+ * @param State Version to look at.
+ * @param Needed Needed shards.
+ * @param Now Current time.
+ * @return Number of shards.
+ */
+size_t countReachable(const Directory &Servers, const VersionState &State,
+                      const std::vector<ShardIndex> &Needed, TimePoint Now) {
+  size_t Reachable = 0;
+  for (ShardIndex Shard : Needed) {
+    const auto &Holders = State.Holders[Shard.Value];
+    // A server that sheds is still reachable: it will serve soon.
+    Reachable += std::any_of(Holders.begin(), Holders.end(),
+                             [&](ServerIndex Index) {
+                               const ServerState &Server = Servers.at(Index);
+                               return Server.Phase == ServerPhase::Live &&
+                                      Now >= Server.EjectedUntil;
+                             })
+                     ? 1
+                     : 0;
+  }
+  return Reachable;
+}
+
+/**
+ * Draws one of the candidates.
+ * @param Servers Directory.
+ * @param Pool Candidates, at least one.
+ * @param TypicalLatency Median latency in milliseconds.
+ * @param Now Current time.
+ * @param Generator Source of random draws.
+ * @return The chosen one.
+ */
+ServerIndex draw(const Directory &Servers, const Candidates &Pool,
+                 double TypicalLatency, TimePoint Now,
+                 base::Random &Generator) {
+  size_t First = Generator.below(Pool.Count);
+  if (Pool.Count == 1 || Servers.policy().Replica == ReplicaRule::Random) {
+    return Pool.Items[First];
+  }
+  size_t Second = Generator.below(Pool.Count - 1);
+  Second += Second >= First ? 1 : 0;
+  const Policy &Rules = Servers.policy();
+  double Left =
+      expectedCost(Servers.at(Pool.Items[First]), Rules, TypicalLatency, Now);
+  double Right =
+      expectedCost(Servers.at(Pool.Items[Second]), Rules, TypicalLatency, Now);
+  return Left <= Right ? Pool.Items[First] : Pool.Items[Second];
+}
+
+} // namespace
+
+std::vector<ShardIndex> resolveShards(const ShardRequest &Wanted,
+                                      const Layout &Shards) {
+  std::vector<ShardIndex> Needed;
+  switch (Wanted.Selection) {
+  case config::ShardSelection::All:
+    Needed.reserve(Shards.Shards.size());
+    for (uint32_t I = 0; I < Shards.Shards.size(); ++I) {
+      Needed.emplace_back(I);
+    }
+    break;
+  case config::ShardSelection::ByKey:
+    if (!Shards.Shards.empty()) {
+      Needed.emplace_back(static_cast<uint32_t>(base::stableHash(Wanted.Key) %
+                                                Shards.Shards.size()));
+    }
+    break;
+  case config::ShardSelection::Listed:
+    for (const std::string &Name : Wanted.Names) {
+      auto Found = std::find(Shards.Shards.begin(), Shards.Shards.end(), Name);
+      if (Found != Shards.Shards.end()) {
+        Needed.emplace_back(
+            static_cast<uint32_t>(Found - Shards.Shards.begin()));
+      }
+    }
+    break;
+  }
+  return Needed;
+}
+
+std::optional<PinnedVersion> chooseVersion(const Directory &Servers,
+                                           const ShardRequest &Wanted,
+                                           config::SnapshotRule Rule,
+                                           base::VersionId NewerThan,
+                                           TimePoint Now) {
+  std::optional<PinnedVersion> Best;
+  double BestCoverage = -1;
+  const auto &Versions = Servers.versions();
+  for (auto It = Versions.rbegin(); It != Versions.rend(); ++It) {
+    if (It->first <= NewerThan) {
+      break;
+    }
+    PinnedVersion Candidate{It->first, It->second.Shards,
+                            resolveShards(Wanted, *It->second.Shards), 0};
+    if (Candidate.Needed.empty()) {
+      continue;
+    }
+    Candidate.Reachable =
+        countReachable(Servers, It->second, Candidate.Needed, Now);
+    bool Complete = Candidate.Reachable == Candidate.Needed.size();
+    double Coverage = static_cast<double>(Candidate.Reachable) /
+                      static_cast<double>(Candidate.Needed.size());
+    if (Coverage > BestCoverage) {
+      BestCoverage = Coverage;
+      Best = std::move(Candidate);
+    }
+    if (Complete || Rule == config::SnapshotRule::Newest) {
+      break;
+    }
+  }
+  return Best;
+}
+
+std::optional<ServerIndex>
+chooseReplica(const Directory &Servers, base::VersionId Version,
+              ShardIndex Shard, std::span<const ServerIndex> Exclude,
+              const base::FailureDomainId &Own, double TypicalLatency,
+              TimePoint Now, base::Random &Generator) {
+  auto Found = Servers.versions().find(Version);
+  if (Found == Servers.versions().end()) {
+    return std::nullopt;
+  }
+  Candidates Near;
+  Candidates Far;
+  Candidates Tried;
+  for (ServerIndex Index : Found->second.Holders[Shard.Value]) {
+    const ServerState &Server = Servers.at(Index);
+    if (!hasCapacity(Server, Servers.policy(), Now)) {
+      continue;
+    }
+    if (std::find(Exclude.begin(), Exclude.end(), Index) != Exclude.end()) {
+      Tried.add(Index);
+    } else if (Server.Domain == Own) {
+      Near.add(Index);
+    } else {
+      Far.add(Index);
+    }
+  }
+  for (const Candidates *Pool : {&Near, &Far, &Tried}) {
+    if (Pool->Count != 0) {
+      return draw(Servers, *Pool, TypicalLatency, Now, Generator);
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace hickorycrank::routing
--- /dev/null
+++ b/src/routing/server_func.cpp
@@ -0,0 +1,155 @@
+#include "routing/server_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hickorycrank::routing {
+
+using base::Duration;
+using base::TimePoint;
+
+namespace {
+
+/** Weight of one observation in the smoothed latency and success rate. */
+constexpr double Smoothing = 0.1;
+constexpr double ShedBackoff = 0.7;
+
+/** Below this success rate a server may be ejected without a streak. */
+constexpr double MinSuccessRate = 0.3;
+
+/**
+ * Tells whether ejecting one more replica keeps enough of each shard.
+ * @param Servers Directory.
+ * @param Index Server to eject.
+ * @param Now Current time.
+ * @return Whether at most a third of each shard's replicas would be ejected.
+ */
+bool ejectionKeepsReplicas(const Directory &Servers, base::ServerIndex Index,
+                           TimePoint Now) {
+  for (const VersionReport &Held : Servers.at(Index).Versions) {
+    auto Version = Servers.versions().find(Held.Shards->Version);
+    if (Version == Servers.versions().end()) {
+      continue;
+    }
+    for (base::ShardIndex Shard : Held.Holds) {
+      const auto &Holders = Version->second.Holders[Shard.Value];
+      size_t Lost = 1;
+      for (base::ServerIndex Other : Holders) {
+        if (Other != Index && !isUsable(Servers.at(Other), Now)) {
+          ++Lost;
+        }
+      }
+      if (Lost * 3 > Holders.size()) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+void recordOutcome(ServerState &Server, Outcome Ended, Duration Latency) {
+  bool Success = Ended == Outcome::Success;
+  Server.SuccessRate +=
+      Smoothing * ((Success ? 1.0 : 0.0) - Server.SuccessRate);
+  if (!Success) {
+    // Shedding is a statement about load, not a fault.
+    Server.ConsecutiveFailures += Ended == Outcome::Failure ? 1 : 0;
+    return;
+  }
+  Server.ConsecutiveFailures = 0;
+  Server.Ejections = 0;
+  double Observed = base::toMilliseconds(Latency);
+  if (Server.Latency == 0) {
+    Server.Latency = Observed;
+  } else {
+    Server.Latency += Smoothing * (Observed - Server.Latency);
+  }
+}
+
+void recordCancelled(ServerState &Server, Duration Waited) {
+  double Observed = base::toMilliseconds(Waited);
+  if (Observed > Server.Latency) {
+    Server.Latency += Smoothing * (Observed - Server.Latency);
+  }
+}
+
+void adaptLimit(ServerState &Server, Outcome Ended, double Share) {
+  if (Ended == Outcome::Shed) {
+    Server.Limit *= ShedBackoff;
+  } else if (Ended == Outcome::Success) {
+    // Raise only a limit that is in use: an idle server proves nothing.
+    bool InUse = static_cast<double>(Server.Outstanding) + 1 >= Server.Limit;
+    Server.Limit += InUse ? 1.0 / Server.Limit : 0;
+  }
+  Server.Limit = std::clamp(Server.Limit, 1.0, std::max(1.0, Share));
+}
+
+bool ejectIfFailing(Directory &Servers, base::ServerIndex Index,
+                    TimePoint Now) {
+  const Policy &Rules = Servers.policy();
+  ServerState &Server = Servers.at(Index);
+  bool Failing =
+      Server.ConsecutiveFailures >= Rules.EjectAfter ||
+      (Server.SuccessRate < MinSuccessRate && Server.ConsecutiveFailures > 1);
+  if (!Rules.Ejection || !Failing || !isUsable(Server, Now) ||
+      !ejectionKeepsReplicas(Servers, Index, Now)) {
+    return false;
+  }
+  Duration Span = Rules.EjectTime;
+  for (uint32_t I = 0; I < Server.Ejections && Span < Rules.MaxEjectTime; ++I) {
+    Span *= 2;
+  }
+  Server.EjectedUntil = Now + std::min(Span, Rules.MaxEjectTime);
+  Server.RampFrom = Server.EjectedUntil;
+  Server.ConsecutiveFailures = 0;
+  ++Server.Ejections;
+  return true;
+}
+
+double rampWeight(const ServerState &Server, const Policy &Rules,
+                  TimePoint Now) {
+  if (Now >= Server.RampFrom + Rules.Ramp) {
+    return 1;
+  }
+  double Done = base::toMilliseconds(Now - Server.RampFrom) /
+                base::toMilliseconds(Rules.Ramp);
+  return Rules.RampStart + (1 - Rules.RampStart) * std::max(0.0, Done);
+}
+
+double expectedCost(const ServerState &Server, const Policy &Rules,
+                    double TypicalLatency, TimePoint Now) {
+  double Latency = Server.Latency > 0 ? Server.Latency : TypicalLatency;
+  double Success = std::max(Server.SuccessRate, 0.05);
+  if (Success < 1) {
+    // A server that fails fast must not look fast.
+    Latency =
+        std::max(Latency, TypicalLatency * (1 - Success) + Latency * Success);
+  }
+  double Cost = (Server.Outstanding + 1.0) * Latency / (Success * Success);
+  Cost /= rampWeight(Server, Rules, Now);
+  if (Rules.UseReports) {
+    double Age = base::toMilliseconds(Now - Server.ReportedAt) /
+                 base::toMilliseconds(Rules.ReportHalfLife);
+    double Load = std::clamp(Server.ReportedLoad, 0.0, 1.0);
+    Cost *= 1 + Rules.ReportInfluence * (2 * Load - 1) * std::exp2(-Age);
+  }
+  return Cost;
+}
+
+bool isUsable(const ServerState &Server, TimePoint Now) {
+  return Server.Phase == ServerPhase::Live && Now >= Server.EjectedUntil &&
+         Now >= Server.ShedUntil;
+}
+
+bool hasCapacity(const ServerState &Server, const Policy &Rules,
+                 TimePoint Now) {
+  if (!isUsable(Server, Now) || Server.ReservedFor) {
+    return false;
+  }
+  return !Rules.ConcurrencyLimit ||
+         Server.Outstanding + 1.0 <= std::floor(Server.Limit);
+}
+
+} // namespace hickorycrank::routing
