Release callbacks of open connections at teardown

Cause: a connection with an exchange in progress refers to its owner, which refers to the pool and so to the connection; when the io_context ends in between, the cycle is never freed. Ruled out: a leak in the sessions of the servers (they hold no reference to their server's owner). Before: LeakSanitizer reports 9 indirect leaks in the loopback tests. Conclusion: owners drop the callbacks once no thread runs the io_context.

--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -55,7 +55,9 @@
 Instance::~Instance() {
   if (this->Reader) {
     this->Reader->stop();
+    this->Reader->release();
   }
+  this->Serving.release();
 }
 
 void Instance::start() {
--- a/src/daemon/instance_base.h
+++ b/src/daemon/instance_base.h
@@ -31,6 +31,7 @@
    * @throws boost::system::system_error if an address cannot be bound.
    */
   Instance(boost::asio::io_context &Context, const config::Settings &Own);
+  /** Must run after the last thread has left the io_context. */
   ~Instance();
   Instance(const Instance &) = delete;
   Instance &operator=(const Instance &) = delete;
--- a/src/daemon/platform_reader.cpp
+++ b/src/daemon/platform_reader.cpp
@@ -69,6 +69,12 @@
   }
 }
 
+void PlatformReader::release() {
+  for (const auto &Replica : this->Replicas) {
+    Replica->releaseCallbacks();
+  }
+}
+
 void PlatformReader::setWatchesConfiguration(bool Watch) {
   this->Watches = Watch;
 }
--- a/src/daemon/platform_reader_base.h
+++ b/src/daemon/platform_reader_base.h
@@ -54,6 +54,9 @@
   /** Stops watching; no callback is started afterwards. */
   void stop();
 
+  /** Breaks references to this reader; when the io_context has ended. */
+  void release();
+
   /**
    * Chooses between watching the configuration and reading it seldom.
    * @param Watch Whether to watch it.
--- a/src/daemon/service_shard.cpp
+++ b/src/daemon/service_shard.cpp
@@ -148,6 +148,19 @@
   }
 }
 
+void ServiceShard::release() {
+  std::map<std::string, ServerLink> Dropped;
+  {
+    std::lock_guard Lock(this->LinksMutex);
+    Dropped.swap(this->Links);
+    this->Exchanges.clear();
+  }
+  for (const auto &[Address, Entry] : Dropped) {
+    Entry.Work->releaseCallbacks();
+    Entry.Control->releaseCallbacks();
+  }
+}
+
 ServiceStatus ServiceShard::status() const {
   ServiceStatus Status;
   std::lock_guard Lock(this->Mutex);
--- a/src/daemon/service_shard_base.h
+++ b/src/daemon/service_shard_base.h
@@ -90,6 +90,9 @@
   /** @param Share Connections to one server from now on. */
   void setConnectionShare(uint32_t Share);
 
+  /** Breaks references to this shard; when the io_context has ended. */
+  void release();
+
   /** @return What an operator sees. */
   ServiceStatus status() const;
 
--- a/src/daemon/tier.cpp
+++ b/src/daemon/tier.cpp
@@ -153,6 +153,12 @@
   }
 }
 
+void Tier::release() {
+  for (const auto &Shard : this->shards()) {
+    Shard->release();
+  }
+}
+
 std::vector<ServiceStatus> Tier::status() const {
   std::vector<ServiceStatus> All;
   for (const auto &Shard : this->shards()) {
--- a/src/daemon/tier_base.h
+++ b/src/daemon/tier_base.h
@@ -75,6 +75,9 @@
   /** Takes a fact from another instance. @param Fact The fact. */
   void applyFact(const query::PublishFact &Fact);
 
+  /** Breaks cyclic references; when the io_context has ended. */
+  void release();
+
   /** @return What an operator sees of each service. */
   std::vector<ServiceStatus> status() const;
 
--- a/src/net/http_connection_base.h
+++ b/src/net/http_connection_base.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace hickorycrank::net {
 
@@ -50,6 +51,9 @@
   /** Drops the callback; the reply is read within the drain time. */
   void abandon();
 
+  /** @return The callback, which is not called any more; for teardown. */
+  HttpPool::Callback takeCallback() { return std::move(this->Done); }
+
   /** Closes at once. */
   void close();
 
--- a/src/net/http_pool.cpp
+++ b/src/net/http_pool.cpp
@@ -242,6 +242,18 @@
   runAll(Later);
 }
 
+void HttpPool::releaseCallbacks() {
+  std::list<Pending> Dropped;
+  std::vector<Callback> Callbacks;
+  {
+    std::lock_guard Lock(this->Mutex);
+    Dropped.swap(this->Waiting);
+    for (const auto &Connection : this->Open) {
+      Callbacks.push_back(Connection->takeCallback());
+    }
+  }
+}
+
 void HttpPool::setMaxConnections(uint32_t Count) {
   std::lock_guard Lock(this->Mutex);
   this->Limits.MaxConnections = std::max(Count, 1U);
--- a/src/net/http_pool_base.h
+++ b/src/net/http_pool_base.h
@@ -90,6 +90,12 @@
   /** Opens connections in advance. @param Count How many to have open. */
   void warm(uint32_t Count);
 
+  /**
+   * Drops all callbacks, which may refer to the owner of this pool. Only for
+   * teardown, when no thread runs the io_context any more.
+   */
+  void releaseCallbacks();
+
   /** @param Count Connections that may be open from now on. */
   void setMaxConnections(uint32_t Count);
 
