Isolate suspects on a usable server and wait for the verdict on a reset

Cause: a suspect's query kept its reservation on the server that it had just crashed, and a slot in back-off was sent again before the probe had told whether the server crashed; a quarantined query in progress was never concluded. Ruled out: the count of crashes per fingerprint (2 as intended). Conclusion: reservation needs a usable server; back-off holds for suspects.

--- a/src/query/engine_base.h
+++ b/src/query/engine_base.h
@@ -235,6 +235,11 @@
   void dequeue(QueryState &Query, Slot &Target);
   void pump(base::TimePoint Now, base::ServerIndex Server, Actions &Out);
   void runNextSuspect(base::TimePoint Now, Actions &Out);
+  QueryState *activateNextSuspect(base::TimePoint Now, Actions &Out);
+  std::optional<base::ServerIndex> reserveServer(base::TimePoint Now,
+                                                 QueryState &Query,
+                                                 base::ShardIndex Shard,
+                                                 Actions &Out);
   void releaseSuspect(base::TimePoint Now, QueryState &Query, Actions &Out);
   bool hedge(base::TimePoint Now, QueryState &Query, uint32_t SlotIndex,
              Actions &Out);
--- a/src/query/engine_dispatch.cpp
+++ b/src/query/engine_dispatch.cpp
@@ -173,72 +173,92 @@
   return true;
 }
 
-void Engine::runNextSuspect(TimePoint Now, Actions &Out) {
-  while (!this->ActiveSuspect && !this->SuspectQueue.empty()) {
-    base::QueryId Id = this->SuspectQueue.front();
-    QueryState *Query = this->find(Id);
-    if (Query == nullptr || Query->Mode != QueryMode::Suspect) {
+QueryState *Engine::activateNextSuspect(TimePoint Now, Actions &Out) {
+  while (true) {
+    if (!this->ActiveSuspect) {
+      if (this->SuspectQueue.empty()) {
+        return nullptr;
+      }
+      this->ActiveSuspect = this->SuspectQueue.front();
       this->SuspectQueue.pop_front();
+    }
+    QueryState *Query = this->find(*this->ActiveSuspect);
+    if (Query == nullptr || Query->Mode != QueryMode::Suspect) {
+      this->ActiveSuspect.reset();
+      continue;
+    }
+    base::Fingerprint Content = Query->Source->Parameters.Content;
+    if (this->Suspects.quarantinedUntil(Now, Content)) {
+      this->conclude(Now, *Query, Out);
+      this->ActiveSuspect.reset();
       continue;
     }
     // Another run of the same request may have settled the suspicion.
-    if (!this->Suspects.isSuspect(Query->Source->Parameters.Content)) {
-      this->SuspectQueue.pop_front();
+    if (!this->Suspects.isSuspect(Content)) {
+      this->releaseSuspect(Now, *Query, Out);
+      this->ActiveSuspect.reset();
       Query->Mode = QueryMode::Normal;
       this->startSlots(Now, *Query, Out);
       this->scheduleWake(Now, *Query);
       continue;
     }
-    if (this->Suspects.quarantinedUntil(Now,
-                                        Query->Source->Parameters.Content)) {
-      this->SuspectQueue.pop_front();
-      this->conclude(Now, *Query, Out);
-      continue;
-    }
-    this->SuspectQueue.pop_front();
-    this->ActiveSuspect = Id;
+    return Query;
   }
-  if (!this->ActiveSuspect) {
-    return;
-  }
-  QueryState *Query = this->find(*this->ActiveSuspect);
-  if (Query == nullptr) {
-    this->ActiveSuspect.reset();
-    return;
+}
+
+std::optional<ServerIndex> Engine::reserveServer(TimePoint Now,
+                                                 QueryState &Query,
+                                                 base::ShardIndex Shard,
+                                                 Actions &Out) {
+  auto Version = this->Servers.versions().find(Query.Pinned.Version);
+  if (Version == this->Servers.versions().end()) {
+    return std::nullopt;
   }
-  for (const Slot &Other : Query->Slots) {
-    if (Other.Phase == SlotPhase::InFlight) {
-      return; // It runs, or attempts from before the suspicion still do.
+  std::optional<ServerIndex> Chosen;
+  for (ServerIndex Index : Version->second.Holders[Shard.Value]) {
+    routing::ServerState &Server = this->Servers.at(Index);
+    bool Usable = routing::isUsable(Server, Now);
+    if (Server.ReservedFor == Query.Id) {
+      if (Usable) {
+        return Index;
+      }
+      Server.ReservedFor.reset(); // It went down; another one is needed.
+      this->pump(Now, Index, Out);
+    } else if (Usable && !Server.ReservedFor &&
+               (!Chosen ||
+                Server.Outstanding < this->Servers.at(*Chosen).Outstanding)) {
+      Chosen = Index;
     }
   }
-  auto Next = std::find_if(Query->Slots.begin(), Query->Slots.end(),
-                           [](const Slot &Candidate) {
-                             return Candidate.Phase == SlotPhase::Held ||
-                                    Candidate.Phase == SlotPhase::Backoff;
-                           });
-  auto Version = this->Servers.versions().find(Query->Pinned.Version);
-  if (Next == Query->Slots.end() || Version == this->Servers.versions().end()) {
+  if (Chosen) {
+    this->Servers.at(*Chosen).ReservedFor = Query.Id;
+  }
+  return Chosen;
+}
+
+void Engine::runNextSuspect(TimePoint Now, Actions &Out) {
+  QueryState *Query = this->activateNextSuspect(Now, Out);
+  if (Query == nullptr) {
     return;
   }
-  std::optional<ServerIndex> Chosen;
-  for (ServerIndex Index : Version->second.Holders[Next->Shard.Value]) {
-    const routing::ServerState &Server = this->Servers.at(Index);
-    if (Server.ReservedFor == Query->Id) {
-      Chosen = Index;
-      break;
-    }
-    if (routing::isUsable(Server, Now) && !Server.ReservedFor &&
-        (!Chosen ||
-         Server.Outstanding < this->Servers.at(*Chosen).Outstanding)) {
-      Chosen = Index;
-    }
+  auto IsInFlight = [](const Slot &Entry) {
+    return Entry.Phase == SlotPhase::InFlight;
+  };
+  // A slot in back-off waits for the verdict on its last server.
+  auto IsPending = [Now](const Slot &Entry) {
+    return Entry.Phase == SlotPhase::Held ||
+           (Entry.Phase == SlotPhase::Backoff && Entry.RetryAt <= Now);
+  };
+  if (std::any_of(Query->Slots.begin(), Query->Slots.end(), IsInFlight)) {
+    return; // It runs, or attempts from before the suspicion still do.
   }
-  if (!Chosen) {
+  auto Next = std::find_if(Query->Slots.begin(), Query->Slots.end(), IsPending);
+  if (Next == Query->Slots.end()) {
     return;
   }
   // Reserved, the server drains; the suspect is sent once it is alone there.
-  this->Servers.at(*Chosen).ReservedFor = Query->Id;
-  if (this->Servers.at(*Chosen).Outstanding == 0) {
+  auto Chosen = this->reserveServer(Now, *Query, Next->Shard, Out);
+  if (Chosen && this->Servers.at(*Chosen).Outstanding == 0) {
     this->send(Now, *Query, static_cast<uint32_t>(Next - Query->Slots.begin()),
                *Chosen, false, Out);
   }
--- a/tests/engine_harness.h
+++ b/tests/engine_harness.h
@@ -95,8 +95,8 @@
 
   /** The same request with an edited template. */
   template <typename Edit>
-  std::shared_ptr<query::Request> requestWith(Edit Change,
-                                              const std::string &Content = "q") {
+  std::shared_ptr<query::Request>
+  requestWith(Edit Change, const std::string &Content = "q") {
     auto Source = this->request(Content);
     auto Template = std::make_shared<config::TemplateDoc>(*Source->Template);
     Change(*Template);
