--- a/src/query/engine_dispatch.cpp
+++ b/src/query/engine_dispatch.cpp
@@ -71,6 +71,10 @@
 void Engine::sendOrWait(TimePoint Now, QueryState &Query, uint32_t SlotIndex,
                         Actions &Out) {
   Slot &Target = Query.Slots[SlotIndex];
+  if (Query.Source->Deadline <= Now) {
+    this->giveUpSlot(Target, Query);
+    return;
+  }
   limits::WaitQueue::ShardKey Key{Query.Pinned.Version, Target.Shard};
   const config::TemplateDoc &Template = *Query.Source->Template;
   // A newcomer may not overtake what already waits for the same shard.
@@ -150,6 +154,12 @@
     }
     QueryState &Query = *this->find(Best->Query);
     this->dequeue(Query, Query.Slots[Best->Slot]);
+    if (Query.Source->Deadline <= Now) {
+      // Not concluded here: a caller may still work on this query.
+      this->giveUpSlot(Query.Slots[Best->Slot], Query);
+      this->wakeBy(Now, Query, Now);
+      continue;
+    }
     this->send(Now, Query, Best->Slot, Server, false, Out);
     this->wakeBy(Now, Query, Now + this->hedgeDelay());
   }
@@ -249,7 +259,8 @@
     return Entry.Phase == SlotPhase::Held ||
            (Entry.Phase == SlotPhase::Backoff && Entry.RetryAt <= Now);
   };
-  if (std::any_of(Query->Slots.begin(), Query->Slots.end(), IsInFlight)) {
+  if (Query->Source->Deadline <= Now ||
+      std::any_of(Query->Slots.begin(), Query->Slots.end(), IsInFlight)) {
     return; // It runs, or attempts from before the suspicion still do.
   }
   auto Next = std::find_if(Query->Slots.begin(), Query->Slots.end(), IsPending);
