--- a/src/cli/commands_func.h
+++ b/src/cli/commands_func.h
@@ -47,6 +47,10 @@
  * @param Arguments Arguments. @return Exit code. */
 int runQuery(int Count, const char **Arguments);
 
+/** replay: runs traces on virtual time against their bounds. @param Count
+ * Arguments. @param Arguments Arguments. @return Exit code. */
+int runReplay(int Count, const char **Arguments);
+
 /** status: shows an instance's view. @param Count Arguments. @param Arguments
  * Arguments. @return Exit code. */
 int runStatus(int Count, const char **Arguments);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -13,6 +13,8 @@
     {"check", "validate settings and published documents",
      hickorycrank::cli::runCheck},
     {"query", "send one query as a caller would", hickorycrank::cli::runQuery},
+    {"replay", "run traces on virtual time against their bounds",
+     hickorycrank::cli::runReplay},
     {"status", "show an instance's view", hickorycrank::cli::runStatus},
 };
 
