--- a/src/replay/session_base.h
+++ b/src/replay/session_base.h
@@ -67,7 +67,7 @@
 
   // The workload and the faults (session_events.cpp).
   void scheduleArrival(uint32_t Class);
-  void sendRequest(uint32_t Class, bool Crashing);
+  void sendRequest(uint32_t Class, const TraceEvent *Crashing);
   void apply(const TraceEvent &Event);
   void applyToServer(const TraceEvent &Event, uint32_t Server);
   void end(const TraceEvent &Event);
--- a/src/replay/session_events.cpp
+++ b/src/replay/session_events.cpp
@@ -29,13 +29,13 @@
   double Seconds = -std::log(1 - this->Arrivals.unit()) / Rate;
   this->Queue.after(base::fromMilliseconds(Seconds * 1'000), [this, Class] {
     if (this->elapsed() < this->Config.Length) {
-      this->sendRequest(Class, false);
+      this->sendRequest(Class, nullptr);
       this->scheduleArrival(Class);
     }
   });
 }
 
-void Session::sendRequest(uint32_t Class, bool Crashing) {
+void Session::sendRequest(uint32_t Class, const TraceEvent *Crashing) {
   const RequestClass &Kind = this->Config.Classes[Class];
   uint64_t Id = this->Record.Queries.size();
   auto Target =
@@ -44,7 +44,7 @@
   QueryRecord Added;
   Added.Class = Class;
   Added.Instance = Target;
-  Added.Crashing = Crashing;
+  Added.Crashing = Crashing != nullptr;
   Added.SentAt = this->elapsed();
   Added.Expected = static_cast<uint32_t>(this->ShardNames.size());
   if (Kind.Selection == config::ShardSelection::ByKey) {
@@ -61,13 +61,15 @@
   if (Kind.Distinct != 0) {
     Content = Content % Kind.Distinct + 1;
   }
-  if (Crashing) {
+  if (Crashing != nullptr) {
     Content = CrashingContent;
     Request->Parameters.Json = R"({"crash":true})";
   }
   Request->Parameters.Content = base::Fingerprint(Content);
   Request->Parameters.Key = std::to_string(Content);
-  Request->Parameters.Shape = base::Fingerprint(ShapeBase + Class);
+  bool NewShape = Crashing != nullptr && Crashing->NewShape;
+  Request->Parameters.Shape =
+      base::Fingerprint(NewShape ? CrashingContent : ShapeBase + Class);
   this->deliver(Target, [this, Target, Id, Request] {
     query::Actions Decided;
     this->Instances[Target].Engine->onRequest(
@@ -101,7 +103,7 @@
     this->pause(Event);
     return;
   case EventKind::CrashingRequest:
-    this->sendRequest(0, true);
+    this->sendRequest(Event.Class, &Event);
     return;
   default:
     for (uint32_t Server : Event.Servers) {
--- a/src/replay/trace_func.cpp
+++ b/src/replay/trace_func.cpp
@@ -231,6 +231,8 @@
   Reader.span("for_ms", Event.For);
   Reader.number("value", Event.Value);
   Reader.number("instance", Event.Instance);
+  Reader.number("class", Event.Class);
+  Reader.truth("new_shape", Event.NewShape);
   Reader.span("retry_after_ms", Event.RetryAfter);
   Reader.number("repeat", Repeat);
   Reader.span("every_ms", Every);
@@ -255,8 +257,9 @@
   if (Found == EventNames.end()) {
     return "unknown event " + Name;
   }
-  if (Event.Instance >= Config.Instances) {
-    return "instance must be below instances";
+  if (Event.Instance >= Config.Instances ||
+      Event.Class >= Config.Classes.size()) {
+    return "instance and class must be positions in the configuration";
   }
   Event.Kind = Found->second;
   for (uint32_t I = 0; I < Repeat; ++I) {
--- a/src/replay/trace_type.h
+++ b/src/replay/trace_type.h
@@ -74,6 +74,8 @@
   EventKind Kind = EventKind::Load;
   std::vector<uint32_t> Servers; ///< Affected servers.
   uint32_t Instance = 0;         ///< For Pause.
+  uint32_t Class = 0;            ///< Of the CrashingRequest.
+  bool NewShape = false;         ///< No request of its shape came before.
   double Value = 0;              ///< See EventKind.
   base::Duration For{};          ///< Time until it ends; 0: to the end.
   base::Duration RetryAfter{};   ///< For Shed.
