--- a/src/routing/selection_func.cpp
+++ b/src/routing/selection_func.cpp
@@ -171,6 +171,20 @@
       Far.add(Index);
     }
   }
+  if (Near.Count != 0 && Far.Count != 0) {
+    ServerIndex Local = draw(Servers, Near, TypicalLatency, Now, Generator);
+    ServerIndex Remote = draw(Servers, Far, TypicalLatency, Now, Generator);
+    const Policy &Rules = Servers.policy();
+    if (Rules.Replica == ReplicaRule::Random) {
+      return Generator.below(Near.Count + Far.Count) < Near.Count ? Local
+                                                                  : Remote;
+    }
+    double Limit = Rules.OwnDomainAdvantage *
+                   expectedCost(Servers.at(Remote), Rules, TypicalLatency, Now);
+    return expectedCost(Servers.at(Local), Rules, TypicalLatency, Now) <= Limit
+               ? Local
+               : Remote;
+  }
   for (const Candidates *Pool : {&Near, &Far, &Tried}) {
     if (Pool->Count != 0) {
       return draw(Servers, *Pool, TypicalLatency, Now, Generator);
