--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: packages build test format
+.PHONY: demo packages build test format
 
 packages:
 	ci/packages
@@ -7,6 +7,9 @@
 	cmake -S . -B build -G Ninja >/dev/null
 	ninja -C build
 
+demo: build
+	build/src/hickorycrank demo
+
 test: packages
 	ci/check
 
--- a/src/cli/commands_func.h
+++ b/src/cli/commands_func.h
@@ -51,6 +51,10 @@
  * Arguments. @return Exit code. */
 int runStatus(int Count, const char **Arguments);
 
+/** demo: runs both example deployments on loopback. @param Count Arguments.
+ * @param Arguments Arguments. @return Exit code. */
+int runDemo(int Count, const char **Arguments);
+
 } // namespace hickorycrank::cli
 
 #endif
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -14,6 +14,8 @@
      hickorycrank::cli::runCheck},
     {"query", "send one query as a caller would", hickorycrank::cli::runQuery},
     {"status", "show an instance's view", hickorycrank::cli::runStatus},
+    {"demo", "run both example deployments on loopback",
+     hickorycrank::cli::runDemo},
 };
 
 /** Prints the list of subcommands. @param Out Where to. */
