--- a/src/net/backend_codec_func.cpp
+++ b/src/net/backend_codec_func.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest_func.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
 #include <memory>
@@ -19,6 +20,8 @@
 namespace {
 
 constexpr size_t HexDigitsPerHalf = 16;
+/** Cuts larger values, which would wrap round to negative durations. */
+constexpr uint64_t LongestRetryAfterMs = 86'400'000;
 
 /**
  * Quotes text as a JSON string.
@@ -281,7 +284,8 @@
   Decoded.Records = findUnsigned(Object, "records");
   Decoded.RecordsTotal = findUnsigned(Object, "records_total");
   if (auto Wait = findUnsigned(Object, "retry_after_ms")) {
-    Decoded.RetryAfter = std::chrono::milliseconds(*Wait);
+    Decoded.RetryAfter =
+        std::chrono::milliseconds(std::min(*Wait, LongestRetryAfterMs));
   }
   if (const json::value *Rows = Object.if_contains("rows");
       Rows != nullptr && Rows->is_array()) {
