Treat a negative X-Deadline-Ms as a deadline that has passed

Cause: the header's smallest number was added to the arrival time unchecked, which overflows the clock's nanoseconds.

After: readDeadline() clamps to the range from 0 to the template's deadline.

--- a/src/daemon/caller_api_func.cpp
+++ b/src/daemon/caller_api_func.cpp
@@ -5,6 +5,7 @@
 #include "daemon/log_func.h"
 #include "net/backend_codec_func.h"
 
+#include <algorithm>
 #include <charconv>
 #include <memory>
 #include <optional>
@@ -113,7 +114,9 @@
   if (Status != std::errc() || End != Text.data() + Text.size()) {
     return std::nullopt;
   }
-  return std::min(Default, std::chrono::milliseconds(Milliseconds));
+  // Not below 0: the smallest number would wrap round to a late deadline.
+  return std::clamp(std::chrono::milliseconds(Milliseconds),
+                    std::chrono::milliseconds(0), Default);
 }
 
 /**
