End a request whose caller has disconnected

Cause: on a disconnect the session told the handler, which then never responded, and nobody counted the request out.

Before: HttpServer::requestsInProgress() stayed at 1 (the new test waited 5 s for 0), so an instance that stopped later waited for its longest deadline.

After: the session closes and counts the request out; the test sees 0 at its first looks (0.011 s for the whole test).

Conclusion: a caller that goes away no longer delays a graceful stop.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -206,9 +206,7 @@
           if (Self->Stream.socket().available(Ignored) != 0) {
             return; // The client pipelines its next request.
           }
-          if (auto Callback = std::exchange(Self->DisconnectCallback, {})) {
-            Callback();
-          }
+          Self->close();
         });
   }
 
