Replace a canary whose shard was given up; refuse as no_server

Cause: a wide query of a first-seen shape starts with one shard. When that shard was given up, the held ones were never started, and the refusal counted them as work that found no free server.

After: the next held shard takes over, and held shards do not count as waiting for capacity. The same test ends after 0.019 s with no_server.

--- a/src/query/engine_base.h
+++ b/src/query/engine_base.h
@@ -270,6 +270,7 @@
   // Progress of queries (engine_progress.cpp).
   void advance(base::TimePoint Now, base::QueryId Query, Actions &Out);
   void advanceSlots(base::TimePoint Now, QueryState &Query, Actions &Out);
+  void replaceCanary(base::TimePoint Now, QueryState &Query, Actions &Out);
   bool concludeIfDone(base::TimePoint Now, base::QueryId Query, Actions &Out);
   void conclude(base::TimePoint Now, QueryState &Query, Actions &Out);
   void discard(base::TimePoint Now, QueryState &Query, Actions &Out);
--- a/src/query/engine_progress.cpp
+++ b/src/query/engine_progress.cpp
@@ -184,11 +184,34 @@
   }
 }
 
+void Engine::replaceCanary(TimePoint Now, QueryState &Query, Actions &Out) {
+  auto IsActive = [](const Slot &Target) {
+    return Target.Phase == SlotPhase::Waiting ||
+           Target.Phase == SlotPhase::InFlight ||
+           Target.Phase == SlotPhase::Backoff;
+  };
+  auto IsHeld = [](const Slot &Target) {
+    return Target.Phase == SlotPhase::Held;
+  };
+  bool Started = false;
+  // Without another canary the held slots would wait for the deadline.
+  while (Query.Mode == QueryMode::Canary &&
+         std::any_of(Query.Slots.begin(), Query.Slots.end(), IsHeld) &&
+         std::none_of(Query.Slots.begin(), Query.Slots.end(), IsActive)) {
+    this->startSlots(Now, Query, Out);
+    Started = true;
+  }
+  if (Started) {
+    this->scheduleWake(Now, Query);
+  }
+}
+
 bool Engine::concludeIfDone(TimePoint Now, base::QueryId Id, Actions &Out) {
   QueryState *Query = this->find(Id);
   if (Query == nullptr) {
     return true;
   }
+  this->replaceCanary(Now, *Query, Out);
   const config::TemplateDoc &Template = *Query->Source->Template;
   bool AllSettled =
       Query->AnsweredSlots + Query->FailedSlots == Query->Slots.size();
@@ -267,7 +290,9 @@
   for (const Slot &Target : Query.Slots) {
     InFlight = InFlight || Target.Phase == SlotPhase::InFlight;
     bool Failed = Target.Phase == SlotPhase::Failed;
-    NeverSent += Target.Attempts.empty() ? 1 : 0;
+    // Held slots were kept back by this process, not by busy servers.
+    bool WasHeld = Target.Phase == SlotPhase::Held;
+    NeverSent += Target.Attempts.empty() && !WasHeld ? 1 : 0;
     Shed += Failed && Target.LastReason == RetryReason::Shed ? 1 : 0;
     Unreachable += Failed && Target.LastReason == RetryReason::Connect ? 1 : 0;
   }
