--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -16,6 +16,8 @@
     {"replay", "run traces on virtual time against their bounds",
      hickorycrank::cli::runReplay},
     {"status", "show an instance's view", hickorycrank::cli::runStatus},
+    {"demo", "run both example deployments on loopback",
+     hickorycrank::cli::runDemo},
 };
 
 /** Prints the list of subcommands. @param Out Where to. */
