Spread the reports of the backend servers over the second

Cause: once a second an instance asked all backend servers for a report at the same moment; with 450 servers decoding the replies kept a thread busy and delayed the queries behind it. Each server is still asked once a second, one twentieth of them every 50 ms.

--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -16,7 +16,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickPeriod(5);
-constexpr std::chrono::milliseconds ReportPeriod(1'000);
+/** Each backend server reports once a second. */
+constexpr std::chrono::milliseconds ReportPeriod(1'000 /
+                                                 ServiceShard::ReportSteps);
 constexpr std::chrono::milliseconds IdleCheckPeriod(10);
 /** Time for callers to see "Connection: close" before the port closes. */
 constexpr std::chrono::milliseconds CloseNoticeTime(200);
--- a/src/daemon/service_shard.cpp
+++ b/src/daemon/service_shard.cpp
@@ -103,12 +103,13 @@
     std::lock_guard Lock(this->Mutex);
     query::Actions Decided;
     const auto &Servers = this->Engine.directory().servers();
-    for (uint32_t I = 0; I < Servers.size(); ++I) {
+    for (uint32_t I = this->ReportStep; I < Servers.size(); I += ReportSteps) {
       if (Servers[I].Phase != routing::ServerPhase::Gone) {
         Decided.emplace_back(
             query::ProbeServer{base::ServerIndex(I), Servers[I].Address});
       }
     }
+    this->ReportStep = (this->ReportStep + 1) % ReportSteps;
     this->enqueue(std::move(Decided));
   }
   this->drainOutbox();
--- a/src/daemon/service_shard_base.h
+++ b/src/daemon/service_shard_base.h
@@ -75,7 +75,13 @@
   /** Lets time pass. @param Event Current time and any pause. */
   void tick(const base::Tick &Event);
 
-  /** Asks every backend server for its report. */
+  /** Calls of refreshReports() that ask every backend server once. */
+  static constexpr uint32_t ReportSteps = 20;
+
+  /**
+   * Asks the next part of the backend servers for their reports. All at once,
+   * 450 reports kept the thread busy for 80 ms and delayed queries.
+   */
   void refreshReports();
 
   /**
@@ -131,6 +137,7 @@
   query::Engine Engine;
   std::deque<query::Action> Outbox;
   bool OutboxBusy = false;
+  uint32_t ReportStep = 0; ///< Next call of refreshReports(), modulo the count.
   uint64_t NextQuery = 1;
   std::unordered_map<base::QueryId, Callback> Callbacks;
 
--- a/src/daemon/tier_base.h
+++ b/src/daemon/tier_base.h
@@ -69,7 +69,7 @@
   /** Lets time pass. @param Event Current time and any pause. */
   void tick(const base::Tick &Event);
 
-  /** Asks all backend servers for their reports. */
+  /** Asks the next part of the backend servers for their reports. */
   void refreshReports();
 
   /** Takes a fact from another instance. @param Fact The fact. */
