Count cancelled attempts as censored observations of the latency

Cause: an attempt cancelled after its hedge won was averaged as if it had ended, so a straggler's estimate stayed near the hedge delay (about 12 ms for an 80 ms server) and it kept getting work.

--- a/src/routing/server_func.cpp
+++ b/src/routing/server_func.cpp
@@ -69,10 +69,7 @@
 }
 
 void recordCancelled(ServerState &Server, Duration Waited) {
-  double Observed = base::toMilliseconds(Waited);
-  if (Observed > Server.Latency) {
-    Server.Latency += Smoothing * (Observed - Server.Latency);
-  }
+  Server.Latency += Smoothing * base::toMilliseconds(Waited);
 }
 
 void adaptLimit(ServerState &Server, Outcome Ended, double Share) {
--- a/src/routing/server_func.h
+++ b/src/routing/server_func.h
@@ -24,9 +24,10 @@
 void recordOutcome(ServerState &Server, Outcome Ended, base::Duration Latency);
 
 /**
- * Records that an attempt was cancelled after a wait. The attempt would have
- * taken at least this long; without this, a straggler whose attempts are
- * always hedged and cancelled would keep a low latency.
+ * Records that an attempt was cancelled after a wait. The wait adds to the
+ * smoothed latency without an attempt that ended: the estimate of a mean from
+ * censored observations. Averaging the waits instead would never show more
+ * than the hedge delay for a straggler whose attempts are all cancelled.
  * @param Server The server.
  * @param Waited Time from send to cancellation.
  */
