Run non-idempotent queries at most once through the daemons

Cause: the daemons ran a non-idempotent query on each sending, so that a caller that lost the reply and sent it again ran it twice. Before: no tickets; X-Ticket was ignored. The handling is in ticket_service.cpp and ticket_api_func.cpp; binding moved from caller_api_func.cpp to request_func.cpp because the issuer binds too. Conclusion: a request that cannot be run does not use up its ticket; what the engine was given is recorded, whether or not the caller still waits.

--- a/src/daemon/caller_api_func.cpp
+++ b/src/daemon/caller_api_func.cpp
@@ -3,6 +3,8 @@
 #include "base/digest_func.h"
 #include "config/binding_func.h"
 #include "daemon/log_func.h"
+#include "daemon/request_func.h"
+#include "daemon/ticket_api_func.h"
 #include "net/backend_codec_func.h"
 
 #include <charconv>
@@ -19,6 +21,7 @@
 
 namespace {
 
+constexpr std::string_view TicketsPath = "/v1/tickets";
 constexpr std::string_view QueryPrefix = "/v1/query/";
 constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr std::chrono::milliseconds NotReadyRetry(500);
@@ -158,7 +161,7 @@
 
 } // namespace
 
-void handleCaller(Tier &Serving, net::HttpCall Call) {
+void handleCaller(Tier &Serving, TicketService &Tickets, net::HttpCall Call) {
   Incoming Arrived;
   Arrived.RequestId = base::toString(base::randomAttemptId());
   Arrived.ArrivedAt = Clock::now();
@@ -184,6 +187,10 @@
     return;
   }
   Arrived.Organisation = Organisation->Name.Value;
+  if (Request.Method == "POST" && Request.Path == TicketsPath) {
+    Arrived.Respond(handleTicketIssue(Serving, Tickets, Organisation->Name));
+    return;
+  }
   bool IsQuery =
       Request.Method == "POST" && Request.Path.rfind(QueryPrefix, 0) == 0;
   base::TemplateId Name(IsQuery ? Request.Path.substr(QueryPrefix.size())
@@ -204,22 +211,29 @@
            "X-Deadline-Ms must be a whole number of milliseconds");
     return;
   }
-  auto Bound =
-      config::bindParameters(*Template->second, *Organisation, Request.Body);
-  if (Bound.has_error()) {
-    refuse(Serving, Arrived, RefusalKind::BadRequest, Bound.error().Message);
+  base::WallTime DeadlineWall = wallNow() + *Limit;
+  if (!Template->second->Idempotent) {
+    auto Ticket = Request.Headers.find("x-ticket");
+    TicketedRequest Source;
+    Source.RequestId = Arrived.RequestId;
+    Source.Ticket =
+        Ticket == Request.Headers.end() ? std::string() : Ticket->second;
+    Source.Organisation = Organisation->Name;
+    Source.Template = Name;
+    Source.Body = Request.Body;
+    Source.DeadlineWall = DeadlineWall;
+    handleTicketed(Serving, Tickets, std::move(Source), Arrived.ArrivedAt,
+                   std::move(Arrived.Respond));
+    return;
+  }
+  auto Built = buildRequest({Arrived.RequestId, Template->second,
+                             std::move(Organisation), Request.Body,
+                             Arrived.ArrivedAt + *Limit, DeadlineWall});
+  if (Built.has_error()) {
+    refuse(Serving, Arrived, RefusalKind::BadRequest, Built.error().Message);
     return;
   }
-  auto Source = std::make_shared<query::Request>();
-  Source->RequestId = Arrived.RequestId;
-  Source->Template = Template->second;
-  Source->Organisation = std::move(Organisation);
-  Source->Parameters = std::move(Bound.value());
-  Source->Deadline = Arrived.ArrivedAt + *Limit;
-  Source->DeadlineWall = std::chrono::floor<std::chrono::milliseconds>(
-                             std::chrono::system_clock::now()) +
-                         *Limit;
-  run(Serving, Arrived, std::move(Source), Call.OnDisconnect);
+  run(Serving, Arrived, std::move(Built.value()), Call.OnDisconnect);
 }
 
 } // namespace hickorycrank::daemon
--- a/src/daemon/caller_api_func.h
+++ b/src/daemon/caller_api_func.h
@@ -1,6 +1,7 @@
 #ifndef HICKORYCRANK_DAEMON_CALLER_API_FUNC_H
 #define HICKORYCRANK_DAEMON_CALLER_API_FUNC_H
 
+#include "daemon/ticket_service_base.h"
 #include "daemon/tier_base.h"
 #include "net/http_server_base.h"
 #include "net/http_type.h"
@@ -8,12 +9,14 @@
 namespace hickorycrank::daemon {
 
 /**
- * Serves POST /v1/query/<template>: authenticates the organisation, binds the
- * parameters, runs the query and responds with an answer or a refusal.
+ * Serves POST /v1/query/<template> and POST /v1/tickets: authenticates the
+ * organisation, binds the parameters, runs the query and responds with an
+ * answer or a refusal.
  * @param Serving The tier.
+ * @param Tickets Runs queries that are not idempotent.
  * @param Call The request; answered exactly once.
  */
-void handleCaller(Tier &Serving, net::HttpCall Call);
+void handleCaller(Tier &Serving, TicketService &Tickets, net::HttpCall Call);
 
 } // namespace hickorycrank::daemon
 
--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::chrono::milliseconds TickPeriod(5);
 constexpr std::chrono::milliseconds ReportPeriod(1'000);
+constexpr std::chrono::milliseconds TicketExpiryPeriod(1'000);
 constexpr std::chrono::milliseconds IdleCheckPeriod(10);
 /** Time for callers to see "Connection: close" before the port closes. */
 constexpr std::chrono::milliseconds CloseNoticeTime(200);
@@ -37,14 +38,26 @@
   return Limits;
 }
 
+/** @return An incarnation above those of earlier processes. */
+base::Incarnation newIncarnation() {
+  auto Now = std::chrono::floor<std::chrono::microseconds>(
+      std::chrono::system_clock::now());
+  return base::Incarnation(
+      static_cast<uint64_t>(Now.time_since_epoch().count()));
+}
+
 } // namespace
 
 Instance::Instance(boost::asio::io_context &Context,
                    const config::Settings &Own)
-    : Context(Context), Serving(Context, Own, nullptr),
+    : Context(Context), Process(newIncarnation()),
+      Serving(Context, Own, nullptr),
+      Tickets(std::make_shared<TicketService>(Context, this->Serving,
+                                              this->Process)),
       CallerServer(Context, Own.Callers, callerLimits(Own),
                    [this](net::HttpCall Call) {
-                     handleCaller(this->Serving, std::move(Call));
+                     handleCaller(this->Serving, *this->Tickets,
+                                  std::move(Call));
                    }),
       AdminServer(Context, Own.Admin, net::HttpLimits{},
                   [this](const net::HttpCall &Call) {
@@ -88,6 +101,9 @@
   this->Timers.subscribe(ReportPeriod, [this](const base::Tick &) {
     this->Serving.refreshReports();
   });
+  this->Timers.subscribe(TicketExpiryPeriod, [this](const base::Tick &Event) {
+    this->Tickets->expire(Event.Now);
+  });
   this->CallerServer.start();
   this->AdminServer.start();
   this->Reader->start();
@@ -169,7 +185,10 @@
 
 void Instance::waitUntilIdle(base::TimePoint Limit,
                              std::function<void()> Done) {
-  if (this->CallerServer.requestsInProgress() == 0 || Clock::now() >= Limit) {
+  // Runs for callers of other instances are not in this server's count.
+  bool Idle = this->CallerServer.requestsInProgress() == 0 &&
+              this->Tickets->running() == 0;
+  if (Idle || Clock::now() >= Limit) {
     this->Stopped = true;
     this->Reader->stop();
     this->AdminServer.drain();
--- a/src/daemon/instance_base.h
+++ b/src/daemon/instance_base.h
@@ -4,7 +4,9 @@
 #include "base/timer_service_base.h"
 #include "config/document_type.h"
 #include "config/settings_type.h"
+#include "daemon/peer_call_type.h"
 #include "daemon/platform_reader_base.h"
+#include "daemon/ticket_service_base.h"
 #include "daemon/tier_base.h"
 #include "net/http_server_base.h"
 
@@ -14,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <utility>
 
 namespace hickorycrank::daemon {
 
@@ -46,6 +49,14 @@
    */
   void stop(std::function<void()> Done);
 
+  /** @param Call Reaches other instances from now on. */
+  void setPeerCall(PeerCall Call) {
+    this->Tickets->setPeerCall(std::move(Call));
+  }
+  /** @return Serves calls of other instances. */
+  PeerCallHandler peerCallHandler() { return this->Tickets->peerCallHandler(); }
+  /** @return Incarnation of this process. */
+  base::Incarnation incarnation() const { return this->Process; }
   /** @return The tier. */
   Tier &tier() { return this->Serving; }
   /** @return Where callers connect. */
@@ -60,7 +71,9 @@
   void waitUntilIdle(base::TimePoint Limit, std::function<void()> Done);
 
   boost::asio::io_context &Context;
+  base::Incarnation Process; ///< Wall clock at the start in microseconds.
   Tier Serving;
+  std::shared_ptr<TicketService> Tickets;
   net::HttpServer CallerServer;
   net::HttpServer AdminServer;
   std::shared_ptr<PlatformReader> Reader;
--- /dev/null
+++ b/src/daemon/ticket_codec_func.h
@@ -0,0 +1,82 @@
+#ifndef HICKORYCRANK_DAEMON_TICKET_CODEC_FUNC_H
+#define HICKORYCRANK_DAEMON_TICKET_CODEC_FUNC_H
+
+#include "base/id_type.h"
+#include "base/time_type.h"
+#include "query/query_type.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hickorycrank::daemon {
+
+/** A non-idempotent request of an authenticated organisation. */
+struct TicketedRequest {
+  std::string RequestId;
+  std::string Ticket; ///< As sent by the caller.
+  base::OrganisationId Organisation;
+  base::TemplateId Template;
+  std::string Body;            ///< The caller's JSON object of parameters.
+  base::WallTime DeadlineWall; ///< Sent to the issuer; clocks as for expiry.
+};
+
+/** The response to a ticketed request, as recorded and forwarded. */
+struct TicketedResponse {
+  unsigned Status = 200;
+  unsigned RetryAfterSeconds = 0;
+  std::string Kind; ///< Of a refusal; empty for an answer.
+  std::string Ran;  ///< Of a refusal; empty for an answer.
+  std::string Body; ///< JSON object for the caller.
+};
+
+/**
+ * Writes the response for a caller.
+ * @param RequestId Id of the request that ran.
+ * @param Result Its result.
+ * @return The response.
+ */
+TicketedResponse toTicketed(const std::string &RequestId,
+                            const query::Response &Result);
+
+/**
+ * Adds a member at the end of a JSON object.
+ * @param Body JSON object with at least one member.
+ * @param Name Name without characters that need escapes.
+ * @param Text Value without characters that need escapes.
+ * @return JSON text.
+ */
+std::string addMember(std::string Body, std::string_view Name,
+                      std::string_view Text);
+
+/**
+ * Writes the payload that forwards a request to its issuer.
+ * @param Source The request.
+ * @return JSON text.
+ */
+std::string encodeForward(const TicketedRequest &Source);
+
+/**
+ * Reads the payload that forwards a request.
+ * @param Payload JSON text.
+ * @return The request, or nothing if the payload is damaged.
+ */
+std::optional<TicketedRequest> decodeForward(std::string_view Payload);
+
+/**
+ * Writes a response for the record or another instance.
+ * @param Source The response.
+ * @return JSON text.
+ */
+std::string encodeTicketed(const TicketedResponse &Source);
+
+/**
+ * Reads a recorded or forwarded response.
+ * @param Payload JSON text.
+ * @return The response, or nothing if the payload is damaged.
+ */
+std::optional<TicketedResponse> decodeTicketed(std::string_view Payload);
+
+} // namespace hickorycrank::daemon
+
+#endif
--- /dev/null
+++ b/src/daemon/ticket_service_base.h
@@ -0,0 +1,100 @@
+#ifndef HICKORYCRANK_DAEMON_TICKET_SERVICE_BASE_H
+#define HICKORYCRANK_DAEMON_TICKET_SERVICE_BASE_H
+
+#include "daemon/peer_call_type.h"
+#include "daemon/ticket_codec_func.h"
+#include "daemon/tier_base.h"
+#include "once/registry_base.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace hickorycrank::daemon {
+
+/**
+ * Runs non-idempotent requests at most once: judges the tickets of this
+ * process, and forwards requests with other tickets to their issuers.
+ * Thread-safe; no lock is held during I/O or callbacks.
+ */
+class TicketService : public std::enable_shared_from_this<TicketService> {
+public:
+  using Callback = std::function<void(TicketedResponse)>;
+
+  /**
+   * Creates the service with a new random secret.
+   * @param Context Runs timers.
+   * @param Serving The tier; must outlive the callbacks.
+   * @param Process Incarnation of this process.
+   */
+  TicketService(boost::asio::io_context &Context, Tier &Serving,
+                base::Incarnation Process);
+
+  /** @param Call Reaches other instances from now on. */
+  void setPeerCall(PeerCall Call);
+
+  /** @return Serves the requests that other instances forward. */
+  PeerCallHandler peerCallHandler();
+
+  /**
+   * Issues a ticket.
+   * @param Organisation To whom.
+   * @return Text of the ticket.
+   */
+  std::string issue(const base::OrganisationId &Organisation);
+
+  /**
+   * Accepts a request with a ticket. It goes on when its caller goes away.
+   * @param Source The request.
+   * @param Done Called exactly once.
+   */
+  void submit(TicketedRequest Source, Callback Done);
+
+  /** Forgets tickets that expired. @param Now Current time. */
+  void expire(base::TimePoint Now);
+
+  /** @return Requests that run here. */
+  size_t running() const;
+
+private:
+  /** Someone who waits for the response to a running request. */
+  struct Waiter {
+    explicit Waiter(boost::asio::io_context &Context) : Timer(Context) {}
+    Callback Done; ///< Empty once called.
+    boost::asio::steady_timer Timer;
+  };
+  using WaiterPointer = std::shared_ptr<Waiter>;
+
+  /** A request that could be run, or why not. */
+  struct Prepared {
+    std::shared_ptr<const query::Request> Source; ///< Null if refused.
+    std::shared_ptr<ServiceShard> Shard;
+    query::Refusal Reason;
+  };
+
+  Prepared prepare(const TicketedRequest &Source);
+  void runHere(const TicketedRequest &Source, const once::Ticket &Offered,
+               Callback Done);
+  void forward(const TicketedRequest &Source, const once::Ticket &Offered,
+               Callback Done);
+  void onFinished(base::AttemptId Nonce, const query::Request &Source,
+                  const query::Response &Result);
+  void onWaiterDue(base::AttemptId Nonce, const WaiterPointer &Due,
+                   const std::string &RequestId);
+
+  boost::asio::io_context &Context;
+  Tier &Serving;
+  mutable std::mutex Mutex; ///< Guards the members below.
+  once::TicketRegistry Registry;
+  PeerCall Call;
+  std::map<base::AttemptId, std::vector<WaiterPointer>> Waiters;
+};
+
+} // namespace hickorycrank::daemon
+
+#endif
