Add the transport between instances

Cause: instances have no way to talk to each other.

Before: no protocol and no sockets between instances.

After: thrift/peer.thrift with committed code, frames of a 4-byte length, an HMAC-SHA256 and a compact PeerFrame; nothing is parsed before the HMAC is right. One connection carries frames both ways. Each frame names its protocol version and the oldest release that understands it. Malformed, oversized, unauthenticated and too new frames are counted and dropped.

Conclusion: Thrift is included by one source file, and a release that only adds fields or kinds of bodies runs beside this one.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: packages build test format
+.PHONY: packages build test format thrift
 
 packages:
 	ci/packages
@@ -12,3 +12,7 @@
 
 format:
 	git ls-files '*.cpp' '*.h' | grep -v '^src/gen/' | xargs clang-format-14 -i
+
+# Needs the package thrift-compiler; only after a change of peer.thrift.
+thrift:
+	thrift --gen cpp:no_skeleton -out src/gen thrift/peer.thrift
