Let instances share members, facts and configurations

Cause: each instance watched the platform alone and was ready with whatever the platform said, even if that was stale.

Before: readiness with the first configuration; 4 instances are 4 watchers; facts of the engines went nowhere.

After: daemon::PeerNode joins peers::Node, the transport and the instance. PeerCall and PeerCallHandler work on the same transport.

Conclusion: a peer that is itself starting confirms nothing, unless the whole fleet is; without this rule two restarted instances could confirm each other's stale configuration.

--- a/src/daemon/admin_api_func.cpp
+++ b/src/daemon/admin_api_func.cpp
@@ -1,5 +1,6 @@
 #include "daemon/admin_api_func.h"
 
+#include <array>
 #include <boost/json.hpp>
 
 namespace hickorycrank::daemon {
@@ -95,6 +96,69 @@
           {"servers", std::move(Servers)}};
 }
 
+/**
+ * Writes the counters of the peers.
+ * @param Status What is known together with them.
+ * @return Prometheus text.
+ */
+std::string renderPeers(const PeerStatus &Status) {
+  std::string Text;
+  auto Sample = [&](const std::string &Name, double Value) {
+    Text += metrics::formatSample("hickorycrank_peer_" + Name, {}, Value);
+  };
+  for (const auto &[Name, Value] : Status.Transport) {
+    Sample(std::string(Name) + "_total", static_cast<double>(Value));
+  }
+  const std::pair<const char *, uint64_t> Plain[] = {
+      {"probes_total", Status.Membership.Probes},
+      {"suspicions_total", Status.Membership.Suspicions},
+      {"deaths_total", Status.Membership.Deaths},
+      {"refutations_total", Status.Membership.Refutations},
+      {"misdelivered_total", Status.Node.Misdelivered},
+      {"stale_process_total", Status.Node.StaleProcess},
+      {"facts_learnt_total", Status.Node.FactsLearnt},
+      {"configuration_pulls_total", Status.Node.Pulls},
+      {"facts", Status.Facts},
+      {"connections", Status.Connections},
+      {"reader", Status.Reader ? 1 : 0},
+      {"config_unconfirmed", Status.Unconfirmed ? 1 : 0}};
+  for (const auto &[Name, Value] : Plain) {
+    Sample(Name, static_cast<double>(Value));
+  }
+  std::array<uint64_t, peers::MemberStateCount> States{};
+  for (const peers::MemberRecord &Record : Status.Members) {
+    ++States[static_cast<size_t>(Record.View.State)];
+  }
+  for (size_t I = 0; I < States.size(); ++I) {
+    Text += metrics::formatSample(
+        "hickorycrank_peer_members",
+        {{"state", toString(static_cast<peers::MemberState>(I))}},
+        static_cast<double>(States[I]));
+  }
+  return Text;
+}
+
+/**
+ * Writes the members for the status page.
+ * @param Status What is known together with them.
+ * @return JSON object.
+ */
+json::object encodePeers(const PeerStatus &Status) {
+  json::array Members;
+  for (const peers::MemberRecord &Record : Status.Members) {
+    Members.push_back(json::object{{"instance", Record.View.Id.Value},
+                                   {"address", Record.View.Address},
+                                   {"failure_domain", Record.View.Domain.Value},
+                                   {"process", Record.View.Process.Value},
+                                   {"state", toString(Record.View.State)},
+                                   {"listed", Record.Listed}});
+  }
+  return {{"process", Status.Process.Value},
+          {"reader", Status.Reader},
+          {"config_unconfirmed", Status.Unconfirmed},
+          {"members", std::move(Members)}};
+}
+
 /**
  * Names a readiness.
  * @param State The readiness.
@@ -107,7 +171,7 @@
 
 } // namespace
 
-std::string renderMetrics(Tier &Serving) {
+std::string renderMetrics(Tier &Serving, const PeerNode &Peers) {
   std::string Text = Serving.metrics().render();
   Text += metrics::formatSample(
       "hickorycrank_configuration_revision", {},
@@ -115,10 +179,11 @@
   for (const ServiceStatus &Status : Serving.status()) {
     Text += renderService(Status);
   }
+  Text += renderPeers(Peers.status());
   return Text;
 }
 
-std::string renderStatus(Tier &Serving) {
+std::string renderStatus(Tier &Serving, const PeerNode &Peers) {
   json::array Services;
   for (const ServiceStatus &Status : Serving.status()) {
     Services.push_back(encodeService(Status));
@@ -129,11 +194,13 @@
                     {"state", readinessName(Serving.State)},
                     {"revision", Version.Number.Value},
                     {"manifest_sha256", Version.ManifestSha256},
+                    {"peers", encodePeers(Peers.status())},
                     {"services", std::move(Services)}};
   return json::serialize(Body);
 }
 
-void handleAdmin(Tier &Serving, const net::HttpCall &Call) {
+void handleAdmin(Tier &Serving, const PeerNode &Peers,
+                 const net::HttpCall &Call) {
   net::HttpResponse Response;
   const std::string &Path = Call.Request.Path;
   if (Path == "/live") {
@@ -141,13 +208,14 @@
   } else if (Path == "/ready") {
     bool Ready = Serving.State == Readiness::Ready;
     Response.Status = Ready ? 200 : 503;
-    Response.Body =
-        std::string(R"({"state":")") + readinessName(Serving.State) + "\"}";
+    Response.Body = json::serialize(
+        json::object{{"state", readinessName(Serving.State)},
+                     {"config_unconfirmed", Peers.status().Unconfirmed}});
   } else if (Path == "/metrics") {
     Response.ContentType = "text/plain; version=0.0.4";
-    Response.Body = renderMetrics(Serving);
+    Response.Body = renderMetrics(Serving, Peers);
   } else if (Path == "/status") {
-    Response.Body = renderStatus(Serving);
+    Response.Body = renderStatus(Serving, Peers);
   } else {
     Response.Status = 404;
     Response.Body = R"({"error":"use /live, /ready, /metrics or /status"})";
--- a/src/daemon/admin_api_func.h
+++ b/src/daemon/admin_api_func.h
@@ -1,6 +1,7 @@
 #ifndef HICKORYCRANK_DAEMON_ADMIN_API_FUNC_H
 #define HICKORYCRANK_DAEMON_ADMIN_API_FUNC_H
 
+#include "daemon/peer_node_base.h"
 #include "daemon/tier_base.h"
 #include "net/http_server_base.h"
 
@@ -11,23 +12,27 @@
 /**
  * Serves operators: /live, /ready, /metrics and /status.
  * @param Serving The tier.
+ * @param Peers What the instance knows together with its peers.
  * @param Call The request; answered exactly once.
  */
-void handleAdmin(Tier &Serving, const net::HttpCall &Call);
+void handleAdmin(Tier &Serving, const PeerNode &Peers,
+                 const net::HttpCall &Call);
 
 /**
  * Writes all metrics as Prometheus text.
  * @param Serving The tier.
+ * @param Peers What the instance knows together with its peers.
  * @return Text in the exposition format.
  */
-std::string renderMetrics(Tier &Serving);
+std::string renderMetrics(Tier &Serving, const PeerNode &Peers);
 
 /**
  * Writes an instance's view as JSON.
  * @param Serving The tier.
+ * @param Peers What the instance knows together with its peers.
  * @return JSON text.
  */
-std::string renderStatus(Tier &Serving);
+std::string renderStatus(Tier &Serving, const PeerNode &Peers);
 
 } // namespace hickorycrank::daemon
 
--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds TickPeriod(5);
 constexpr std::chrono::milliseconds ReportPeriod(1'000);
 constexpr std::chrono::milliseconds IdleCheckPeriod(10);
+/** Period at which the choice of the platform's readers is looked at. */
+constexpr std::chrono::milliseconds ReaderPeriod(500);
 /** Time for callers to see "Connection: close" before the port closes. */
 constexpr std::chrono::milliseconds CloseNoticeTime(200);
 /** Time beyond the longest deadline for the last response to be written. */
@@ -41,18 +43,23 @@
 
 Instance::Instance(boost::asio::io_context &Context,
                    const config::Settings &Own)
-    : Context(Context), Serving(Context, Own, nullptr),
+    : Context(Context), Peers(std::make_shared<PeerNode>(Context, Own)),
+      Serving(Context, Own,
+              [Node = this->Peers](const query::PublishFact &Fact) {
+                Node->publish(Fact);
+              }),
       CallerServer(Context, Own.Callers, callerLimits(Own),
                    [this](net::HttpCall Call) {
                      handleCaller(this->Serving, std::move(Call));
                    }),
       AdminServer(Context, Own.Admin, net::HttpLimits{},
                   [this](const net::HttpCall &Call) {
-                    handleAdmin(this->Serving, Call);
+                    handleAdmin(this->Serving, *this->Peers, Call);
                   }),
       TickTimer(Context) {}
 
 Instance::~Instance() {
+  this->Peers->stop();
   if (this->Reader) {
     this->Reader->stop();
     this->Reader->release();
@@ -60,7 +67,7 @@
   this->Serving.release();
 }
 
-void Instance::start() {
+void Instance::startPlatformReader() {
   PlatformCallbacks Callbacks;
   Callbacks.OnConfiguration =
       [Weak = this->weak_from_this()](const config::ConfigurationTexts &Texts) {
@@ -71,6 +78,7 @@
   Callbacks.OnInstances =
       [Weak = this->weak_from_this()](const net::InstanceList &List) {
         if (auto Self = Weak.lock()) {
+          Self->Peers->applyInstances(List);
           Self->Serving.applyInstances(List);
         }
       };
@@ -82,20 +90,80 @@
   this->Reader = std::make_shared<PlatformReader>(
       this->Context, this->Serving.settings().Platform,
       base::randomAttemptId().Low, std::move(Callbacks));
+}
+
+void Instance::startPeers() {
+  PeerNodeCallbacks Callbacks;
+  Callbacks.OnFact =
+      [Weak = this->weak_from_this()](const query::PublishFact &Fact) {
+        if (auto Self = Weak.lock()) {
+          Self->Serving.applyFact(Fact);
+        }
+      };
+  Callbacks.OnConfiguration =
+      [Weak = this->weak_from_this()](const config::ConfigurationTexts &Texts) {
+        auto Self = Weak.lock();
+        return !Self || Self->onTexts(Texts);
+      };
+  Callbacks.OnConflict =
+      [Weak = this->weak_from_this()](const base::InstanceId &) {
+        if (auto Self = Weak.lock()) {
+          Self->reportConflict(Self->Serving.configurationVersion().Number);
+        }
+      };
+  this->Peers->start(std::move(Callbacks));
+}
+
+void Instance::startTimers() {
   this->Timers.subscribe(TickPeriod, [this](const base::Tick &Event) {
     this->Serving.tick(Event);
   });
   this->Timers.subscribe(ReportPeriod, [this](const base::Tick &) {
     this->Serving.refreshReports();
   });
+  this->Timers.subscribe(PeerNode::TickPeriod, [this](const base::Tick &Event) {
+    this->Peers->tick(Event);
+    this->updateReadiness();
+  });
+  this->Timers.subscribe(ReaderPeriod, [this](const base::Tick &) {
+    this->Reader->setWatchesConfiguration(this->Peers->isReader());
+  });
+  this->scheduleTick();
+}
+
+void Instance::start() {
+  this->startPlatformReader();
   this->CallerServer.start();
   this->AdminServer.start();
+  this->startPeers();
   this->Reader->start();
-  this->scheduleTick();
+  this->startTimers();
   logEvent(LogLevel::Info, "instance.started",
            {{"instance", this->Serving.settings().Instance.Value},
             {"callers", std::to_string(this->callers().Port)},
-            {"admin", std::to_string(this->admin().Port)}});
+            {"admin", std::to_string(this->admin().Port)},
+            {"peers", std::to_string(this->peers().Port)}});
+}
+
+void Instance::updateReadiness() {
+  if (this->Reader->hasRead()) {
+    this->Peers->onPlatformRead();
+  }
+  if (this->Serving.State != Readiness::Starting) {
+    this->Peers->judge(); // An unconfirmed one may be confirmed now.
+    return;
+  }
+  peers::StartVerdict Verdict = this->Peers->judge();
+  if (Verdict == peers::StartVerdict::NotReady) {
+    return;
+  }
+  Readiness Expected = Readiness::Starting;
+  if (this->Serving.State.compare_exchange_strong(Expected, Readiness::Ready)) {
+    bool Confirmed = Verdict == peers::StartVerdict::Ready;
+    logEvent(Confirmed ? LogLevel::Info : LogLevel::Warning, "instance.ready",
+             {{"instance", this->Serving.settings().Instance.Value},
+              {"config_confirmed", Confirmed ? "true" : "false"}});
+  }
 }
 
 void Instance::scheduleTick() {
@@ -113,12 +181,22 @@
 
 std::string Instance::findDocument(const std::string &Digest) {
   std::lock_guard Lock(this->TextsMutex);
-  auto Found = this->InForceTexts.Documents.find(Digest);
-  return Found == this->InForceTexts.Documents.end() ? std::string()
-                                                     : Found->second;
+  if (!this->InForceTexts) {
+    return {};
+  }
+  auto Found = this->InForceTexts->Documents.find(Digest);
+  return Found == this->InForceTexts->Documents.end() ? std::string()
+                                                      : Found->second;
 }
 
-void Instance::onTexts(const config::ConfigurationTexts &Texts) {
+void Instance::reportConflict(base::Revision Number) {
+  this->Serving.metrics().add("hickorycrank_configuration_conflicts", {});
+  logEvent(LogLevel::Error, "configuration.conflict",
+           {{"revision", std::to_string(Number.Value)},
+            {"remedy", "publish a higher revision"}});
+}
+
+bool Instance::onTexts(const config::ConfigurationTexts &Texts) {
   std::vector<base::Error> Errors;
   auto Offered = config::buildConfiguration(Texts, Errors);
   for (const base::Error &Entry : Errors) {
@@ -128,32 +206,44 @@
              {{"error", Entry.Message}});
   }
   if (!Offered) {
-    return;
+    return false;
   }
   config::Acceptance Verdict = this->Serving.offerConfiguration(Offered);
   if (Verdict == config::Acceptance::Conflict ||
       Verdict == config::Acceptance::ConflictAccept) {
-    this->Serving.metrics().add("hickorycrank_configuration_conflicts", {});
-    logEvent(LogLevel::Error, "configuration.conflict",
-             {{"revision", std::to_string(Offered->Number.Value)},
-              {"remedy", "publish a higher revision"}});
+    this->reportConflict(Offered->Number);
   }
   if (!config::takesOffer(Verdict)) {
-    return;
+    return true;
   }
+  config::ConfigurationVersion Version{Offered->Number,
+                                       Offered->ManifestSha256};
+  auto Held = std::make_shared<const config::ConfigurationTexts>(Texts);
   {
     std::lock_guard Lock(this->TextsMutex);
-    this->InForceTexts = Texts;
+    // Another thread may have put a newer one in force meanwhile.
+    if (this->Serving.configurationVersion() == Version) {
+      this->InForceTexts = Held;
+    }
   }
+  this->Peers->onInForce(Version, std::move(Held));
   logEvent(LogLevel::Info, "configuration.in_force",
            {{"revision", std::to_string(Offered->Number.Value)}});
-  Readiness Expected = Readiness::Starting;
-  this->Serving.State.compare_exchange_strong(Expected, Readiness::Ready);
+  return true;
+}
+
+void Instance::abort() {
+  this->Stopped = true;
+  this->Peers->stop();
+  this->Reader->stop();
+  this->CallerServer.abort();
+  this->AdminServer.abort();
 }
 
 void Instance::stop(std::function<void()> Done) {
   this->Serving.State = Readiness::Draining;
   this->CallerServer.announceClose();
+  this->Peers->leave();
   logEvent(LogLevel::Info, "instance.stopping",
            {{"instance", this->Serving.settings().Instance.Value}});
   base::TimePoint Limit = Clock::now() + CloseNoticeTime +
@@ -172,6 +262,7 @@
   if (this->CallerServer.requestsInProgress() == 0 || Clock::now() >= Limit) {
     this->Stopped = true;
     this->Reader->stop();
+    this->Peers->stop();
     this->AdminServer.drain();
     logEvent(LogLevel::Info, "instance.stopped",
              {{"instance", this->Serving.settings().Instance.Value}});
--- a/src/daemon/instance_base.h
+++ b/src/daemon/instance_base.h
@@ -4,6 +4,7 @@
 #include "base/timer_service_base.h"
 #include "config/document_type.h"
 #include "config/settings_type.h"
+#include "daemon/peer_node_base.h"
 #include "daemon/platform_reader_base.h"
 #include "daemon/tier_base.h"
 #include "net/http_server_base.h"
@@ -40,26 +41,43 @@
   void start();
 
   /**
-   * Stops gracefully: not ready at once, requests in progress finish, bounded
-   * by the longest deadline in force.
+   * Stops gracefully: not ready at once, peers told, requests in progress
+   * finish, bounded by the longest deadline in force.
    * @param Done Called once nothing is in progress.
    */
   void stop(std::function<void()> Done);
 
+  /** Stops at once and tells nobody, as a crash would; for tests. */
+  void abort();
+
   /** @return The tier. */
   Tier &tier() { return this->Serving; }
   /** @return Where callers connect. */
   config::Endpoint callers() const { return this->CallerServer.endpoint(); }
   /** @return Where operators connect. */
   config::Endpoint admin() const { return this->AdminServer.endpoint(); }
+  /** @return Where other instances connect. */
+  config::Endpoint peers() const { return this->Peers->endpoint(); }
+  /** @return What this instance knows together with its peers. */
+  PeerNode &peerNode() { return *this->Peers; }
+  /** @return Calls to the platform so far. */
+  uint64_t platformCalls() const {
+    return this->Reader ? this->Reader->calls() : 0;
+  }
 
 private:
   void scheduleTick();
-  void onTexts(const config::ConfigurationTexts &Texts);
+  void startPlatformReader();
+  void startPeers();
+  void startTimers();
+  bool onTexts(const config::ConfigurationTexts &Texts);
+  void reportConflict(base::Revision Number);
+  void updateReadiness();
   std::string findDocument(const std::string &Digest);
   void waitUntilIdle(base::TimePoint Limit, std::function<void()> Done);
 
   boost::asio::io_context &Context;
+  std::shared_ptr<PeerNode> Peers;
   Tier Serving;
   net::HttpServer CallerServer;
   net::HttpServer AdminServer;
@@ -68,7 +86,7 @@
   boost::asio::steady_timer TickTimer;
   std::atomic<bool> Stopped{false};
   std::mutex TextsMutex; ///< Guards InForceTexts.
-  config::ConfigurationTexts InForceTexts;
+  std::shared_ptr<const config::ConfigurationTexts> InForceTexts;
 };
 
 } // namespace hickorycrank::daemon
--- a/src/daemon/platform_reader.cpp
+++ b/src/daemon/platform_reader.cpp
@@ -76,7 +76,38 @@
 }
 
 void PlatformReader::setWatchesConfiguration(bool Watch) {
-  this->Watches = Watch;
+  if (this->Watches.exchange(Watch) || !Watch) {
+    return;
+  }
+  // A new reader must not sit out the long interval: the one that it replaces
+  // may be gone.
+  bool Cancelled = false;
+  {
+    std::lock_guard Lock(this->Mutex);
+    Cancelled = this->SeldomTimer && this->SeldomTimer->cancel() > 0;
+    this->SeldomTimer.reset();
+  }
+  if (Cancelled) {
+    this->pollManifest();
+  }
+}
+
+void PlatformReader::pollLater() {
+  auto Timer = std::make_shared<boost::asio::steady_timer>(this->Context);
+  Timer->expires_after(this->jitter(SeldomInterval));
+  std::lock_guard Lock(this->Mutex);
+  this->Timers.insert(Timer);
+  this->SeldomTimer = Timer;
+  Timer->async_wait([Self = this->shared_from_this(),
+                     Timer](boost::system::error_code Failure) {
+    {
+      std::lock_guard Inner(Self->Mutex);
+      Self->Timers.erase(Timer);
+    }
+    if (!Failure && !Self->Stopped) {
+      Self->pollManifest();
+    }
+  });
 }
 
 std::chrono::milliseconds
@@ -192,9 +223,12 @@
         if (Value.has_value() && !Value.value().Text.empty()) {
           Self->onManifest(Value.value());
         }
-        Self->later(Watch ? std::chrono::milliseconds(1)
-                          : Self->jitter(SeldomInterval),
-                    [Self] { Self->pollManifest(); });
+        if (Watch) {
+          Self->later(std::chrono::milliseconds(1),
+                      [Self] { Self->pollManifest(); });
+        } else if (!Self->Stopped) {
+          Self->pollLater();
+        }
       });
 }
 
--- a/src/daemon/platform_reader_base.h
+++ b/src/daemon/platform_reader_base.h
@@ -80,6 +80,7 @@
            std::function<void(base::Result<std::string>)> Done);
   void pollInstances();
   void pollManifest();
+  void pollLater();
   void onManifest(const net::PlatformValue &Value);
   void fetchNext(const std::shared_ptr<Fetch> &Pending);
   void later(std::chrono::milliseconds Delay, std::function<void()> Callback);
@@ -98,6 +99,8 @@
   uint64_t ManifestVersion = 0;
   uint64_t ListVersion = 0;
   std::set<std::shared_ptr<boost::asio::steady_timer>> Timers;
+  /** Runs until the next reading of an instance that does not watch. */
+  std::shared_ptr<boost::asio::steady_timer> SeldomTimer;
 };
 
 } // namespace hickorycrank::daemon
--- /dev/null
+++ b/tests/peer_daemon_test.cpp
@@ -0,0 +1,299 @@
+// What real instances know together, on loopback.
+#include "loopback.h"
+
+#include "base/digest_func.h"
+#include "config/document_func.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace hickorycrank;
+using namespace hickorycrank::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Instances that find each other by the platform's list. */
+class Peers : public Loopback {
+public:
+  explicit Peers(size_t Count) : Loopback(0) {
+    for (size_t I = 0; I < Count; ++I) {
+      this->Instances.push_back(std::make_shared<daemon::Instance>(
+          this->Running.Context,
+          this->Stand.entrySettings("entry-" + std::to_string(I), I)));
+    }
+    this->list();
+    for (auto &Entry : this->Instances) {
+      Entry->start();
+    }
+  }
+
+  ~Peers() { this->Running.join(); }
+
+  void list() {
+    std::vector<standin::ListedInstance> Entries;
+    for (size_t I = 0; I < this->Instances.size(); ++I) {
+      standin::ListedInstance Entry;
+      Entry.Id = "entry-" + std::to_string(I);
+      Entry.Kind = "entry";
+      Entry.Address = config::toString(this->Instances[I]->peers());
+      Entry.Domain = this->Instances[I]->tier().settings().Domain.Value;
+      Entries.push_back(Entry);
+    }
+    this->Stand.listEntries(Entries);
+  }
+
+  /** Starts a new process at an instance's address after a kill. */
+  void restart(size_t Index) {
+    config::Settings Own = this->Instances[Index]->tier().settings();
+    Own.Peers = this->Instances[Index]->peers();
+    this->Instances[Index]->abort();
+    this->Retired.push_back(this->Instances[Index]);
+    // The old process's socket closes on the io_context.
+    eventually([&] {
+      try {
+        this->Instances[Index] =
+            std::make_shared<daemon::Instance>(this->Running.Context, Own);
+        return true;
+      } catch (const boost::system::system_error &) {
+        return false;
+      }
+    });
+    this->Instances[Index]->start();
+  }
+
+  bool allReady(std::chrono::milliseconds Limit = 5s) {
+    return eventually(
+        [&] {
+          return std::all_of(this->Instances.begin(), this->Instances.end(),
+                             [](const auto &Entry) {
+                               return Entry->tier().State ==
+                                      daemon::Readiness::Ready;
+                             });
+        },
+        Limit);
+  }
+
+  bool allAt(uint64_t Revision, std::chrono::milliseconds Limit = 5s) {
+    return eventually(
+        [&] {
+          return std::all_of(this->Instances.begin(), this->Instances.end(),
+                             [&](const auto &Entry) {
+                               return revisionOf(*Entry) == Revision;
+                             });
+        },
+        Limit);
+  }
+
+  static uint64_t revisionOf(daemon::Instance &Entry) {
+    return Entry.tier().configurationVersion().Number.Value;
+  }
+
+  static std::map<std::string, std::string> documents(int Limit = 0) {
+    auto Documents = standin::readDocuments(
+        std::string(HICKORYCRANK_SOURCE_DIR) + "/examples/consortium");
+    if (Limit != 0) {
+      for (auto &[Name, Text] : Documents) {
+        if (Name.rfind("template/", 0) == 0) {
+          Text += "# " + std::to_string(Limit) + "\n";
+        }
+      }
+    }
+    return Documents;
+  }
+
+  CallerResponse admin(size_t Index, const std::string &Path) {
+    net::HttpRequest Request;
+    Request.Method = "GET";
+    Request.Path = Path;
+    return call(this->Running.Context, this->Instances[Index]->admin(),
+                std::move(Request));
+  }
+
+  std::vector<std::shared_ptr<daemon::Instance>> Retired;
+};
+
+} // namespace
+
+// Guards against instances that stay at an old revision or find nobody.
+TEST_CASE("a published revision is in force on all instances", "[daemon]") {
+  Peers Fleet(4);
+  REQUIRE(Fleet.allReady());
+  REQUIRE(Fleet.allAt(1));
+  Fleet.Stand.platform().publish(2, Peers::documents(7));
+  auto Begin = base::Clock::now();
+  REQUIRE(Fleet.allAt(2));
+  INFO("took " << base::toMilliseconds(base::Clock::now() - Begin) << " ms");
+  CHECK(base::Clock::now() - Begin < 2s);
+  auto Status = Fleet.admin(0, "/status");
+  CHECK(Status.Body.at("revision").to_number<uint64_t>() == 2);
+  const auto &Known = Status.Body.at("peers").as_object();
+  CHECK(Known.at("members").as_array().size() == 3);
+  CHECK_FALSE(Known.at("config_unconfirmed").as_bool());
+}
+
+// Guards against a platform that limits where a newer revision gets.
+TEST_CASE("a newer revision spreads while the platform is down", "[daemon]") {
+  Peers Fleet(4);
+  REQUIRE(Fleet.allReady());
+  // Only the new instance sees a replica that has revision 5.
+  standin::Platform Other(Fleet.Running.Context, config::Endpoint{});
+  Other.publish(5, Peers::documents(5));
+  Fleet.Stand.platform().setFault(standin::PlatformFault::Down);
+  config::Settings Own = Fleet.Stand.entrySettings("entry-4", 1);
+  Own.Platform = {Other.endpoint()};
+  auto Late = std::make_shared<daemon::Instance>(Fleet.Running.Context, Own);
+  std::vector<standin::ListedInstance> Entries;
+  for (size_t I = 0; I < 4; ++I) {
+    Entries.push_back({"entry-" + std::to_string(I), "entry", "",
+                       config::toString(Fleet.Instances[I]->peers()),
+                       Fleet.Instances[I]->tier().settings().Domain.Value, 1,
+                       false});
+  }
+  Other.setInstances(Entries);
+  Late->start();
+  Fleet.Instances.push_back(Late);
+  CHECK(Fleet.allAt(5));
+  CHECK(Fleet.allReady());
+  Fleet.Running.join();
+}
+
+// Guards against a return to an old revision by a stale replica or a restart.
+TEST_CASE("a stale platform never puts an older revision in force",
+          "[daemon]") {
+  Peers Fleet(4);
+  Fleet.Stand.platform().publish(8, Peers::documents(8));
+  REQUIRE(Fleet.allReady());
+  REQUIRE(Fleet.allAt(8));
+  Fleet.Stand.platform().publish(3, Peers::documents(3)); // Stale.
+  std::this_thread::sleep_for(500ms);
+  CHECK(Fleet.allAt(8, 0ms));
+  Fleet.restart(2);
+  bool ReadyWithOld = false;
+  CHECK(eventually([&] {
+    bool Ready = Fleet.Instances[2]->tier().State == daemon::Readiness::Ready;
+    uint64_t Revision = Peers::revisionOf(*Fleet.Instances[2]);
+    ReadyWithOld = ReadyWithOld || (Ready && Revision != 8);
+    return Ready;
+  }));
+  CHECK_FALSE(ReadyWithOld);
+  CHECK(Fleet.allAt(8));
+}
+
+// Guards against work for a server that another instance knows to be leaving.
+TEST_CASE("a leaving server gets no new work from any instance", "[daemon]") {
+  Peers Fleet(4);
+  REQUIRE(Fleet.allReady());
+  for (size_t I = 0; I < 4; ++I) {
+    REQUIRE(Fleet.waitUntilServing(I));
+  }
+  auto &Server = Fleet.Stand.server("stock", 0);
+  std::string Id = Server.id();
+  query::PublishFact Fact;
+  Fact.Kind = query::FactKind::ServerLeaving;
+  Fact.Server = base::ServerId(Id);
+  Fact.Process = base::Incarnation(1);
+  Fact.Lifetime = 10min;
+  // Only instance 0 knows; the server itself goes on as if nothing were.
+  Fleet.Instances[0]->tier().applyFact(Fact);
+  Fleet.Instances[0]->peerNode().publish(Fact);
+  std::this_thread::sleep_for(3s);
+  uint64_t Before = Server.counters().Searches;
+  for (int Round = 0; Round < 20; ++Round) {
+    for (size_t I = 0; I < 4; ++I) {
+      CHECK(Fleet.ask(I, "cart-search", R"({"colour":"pink"})").Status == 200);
+    }
+  }
+  CHECK(Server.counters().Searches == Before);
+}
+
+// Guards against instances that split over two contents of one revision.
+TEST_CASE("equal revision with two contents is reported and chosen alike",
+          "[daemon]") {
+  Peers Fleet(4);
+  REQUIRE(Fleet.allReady());
+  standin::Platform Other(Fleet.Running.Context, config::Endpoint{});
+  Other.publish(6, Peers::documents(61));
+  Fleet.Stand.platform().publish(6, Peers::documents(62));
+  REQUIRE(Fleet.allAt(6));
+  std::string Larger = std::max(base::sha256Hex(config::formatManifest(
+                                    base::Revision(6), Peers::documents(61))),
+                                base::sha256Hex(config::formatManifest(
+                                    base::Revision(6), Peers::documents(62))));
+  config::Settings Own = Fleet.Stand.entrySettings("entry-4", 1);
+  Own.Platform = {Other.endpoint()};
+  Other.setInstances(
+      {{"entry-0", "entry", "", config::toString(Fleet.Instances[0]->peers()),
+        "domain-1", 1, false}});
+  Fleet.Instances.push_back(
+      std::make_shared<daemon::Instance>(Fleet.Running.Context, Own));
+  Fleet.Instances.back()->start();
+  CHECK(eventually([&] {
+    return std::all_of(
+        Fleet.Instances.begin(), Fleet.Instances.end(), [&](const auto &Entry) {
+          return Entry->tier().configurationVersion().ManifestSha256 == Larger;
+        });
+  }));
+  CHECK(eventually([&] {
+    return std::any_of(
+        Fleet.Instances.begin(), Fleet.Instances.end(), [](const auto &Entry) {
+          return Entry->tier().metrics().render().find(
+                     "hickorycrank_configuration_conflicts_total") !=
+                 std::string::npos;
+        });
+  }));
+  Fleet.Running.join();
+}
+
+// Guards against an instance that vanishes without word at a planned stop.
+TEST_CASE("a stopping instance is seen as leaving", "[daemon]") {
+  Peers Fleet(4);
+  REQUIRE(Fleet.allReady());
+  std::promise<void> Stopped;
+  Fleet.Instances[3]->stop([&] { Stopped.set_value(); });
+  CHECK(eventually([&] {
+    size_t Seen = 0;
+    for (size_t I = 0; I < 3; ++I) {
+      for (const auto &Record :
+           Fleet.Instances[I]->peerNode().status().Members) {
+        Seen += Record.View.Id.Value == "entry-3" &&
+                        Record.View.State == peers::MemberState::Leaving
+                    ? 1
+                    : 0;
+      }
+    }
+    return Seen == 3;
+  }));
+  Stopped.get_future().wait();
+}
+
+// Guards the contract that the tickets' part depends on.
+TEST_CASE("calls reach one process or say whether they may have", "[daemon]") {
+  Peers Fleet(2);
+  REQUIRE(Fleet.allReady());
+  auto &Issuer = Fleet.Instances[1]->peerNode();
+  auto Ask = [&](base::Incarnation Process, base::Duration Span) {
+    auto Promise = std::make_shared<std::promise<daemon::PeerCallResult>>();
+    auto Future = Promise->get_future();
+    Fleet.Instances[0]->peerNode().caller()(
+        base::InstanceId("entry-1"), Process, "payload",
+        base::Clock::now() + Span, [Promise](daemon::PeerCallResult Result) {
+          Promise->set_value(std::move(Result));
+        });
+    return Future.get();
+  };
+  using daemon::PeerCallError;
+  CHECK(std::get<PeerCallError>(Ask(Issuer.process(), 2s)) ==
+        PeerCallError::NotSent); // No handler yet.
+  Issuer.setCallHandler(
+      [](std::string Payload, std::function<void(std::string)> Reply) {
+        Reply(Payload + " served");
+      });
+  CHECK(std::get<std::string>(Ask(Issuer.process(), 2s)) == "payload served");
+  base::Incarnation Older(Issuer.process().Value - 1);
+  CHECK(std::get<PeerCallError>(Ask(Older, 2s)) == PeerCallError::NotSent);
+  Issuer.setCallHandler(
+      [](const std::string &, const std::function<void(std::string)> &) {});
+  CHECK(std::get<PeerCallError>(Ask(Issuer.process(), 100ms)) ==
+        PeerCallError::NoReply);
+}
