--- a/tests/engine_property_test.cpp
+++ b/tests/engine_property_test.cpp
@@ -224,8 +224,7 @@
     // Only identical requests may hold a cancelled query's answer back, so a
     // cancelled one is not expected to respond, and may.
     if (Chosen->second.Responses == 0) {
-      this->Test.Engine.onCancel(this->Test.Now, Chosen->first,
-                                 this->Test.Out);
+      this->Test.Engine.onCancel(this->Test.Now, Chosen->first, this->Test.Out);
       this->absorb();
       this->Cancelled.insert(Chosen->first);
       this->Queries.erase(Chosen);
--- a/tests/property.h
+++ b/tests/property.h
@@ -15,8 +15,7 @@
  * @param Property Callable that takes generated arguments and uses RC_ASSERT.
  * @param Runs Number of cases.
  */
-template <typename Callable>
-void checkProperty(Callable &&Property, int Runs) {
+template <typename Callable> void checkProperty(Callable &&Property, int Runs) {
   rc::detail::TestParams Params;
   Params.seed = 20'261'204;
   Params.maxSuccess = Runs;
