Eject no server while the service as a whole fails

Cause: with every server failing, a third of each shard's replicas was ejected again and again for doubled times, and stayed out after the fault had ended.

--- a/src/routing/server_func.cpp
+++ b/src/routing/server_func.cpp
@@ -17,6 +17,27 @@
 /** Below this success rate a server may be ejected without a streak. */
 constexpr double MinSuccessRate = 0.3;
 
+/** Below this mean success rate the service fails, not single servers. */
+constexpr double MinServiceRate = 0.5;
+
+/**
+ * Tells whether the service as a whole works. If most servers fail, ejecting
+ * some of them helps nobody and delays the recovery.
+ * @param Servers Directory.
+ * @return Whether the mean success rate of live servers is high enough.
+ */
+bool serviceWorks(const Directory &Servers) {
+  double Sum = 0;
+  double Count = 0;
+  for (const ServerState &Server : Servers.servers()) {
+    if (Server.Phase == ServerPhase::Live) {
+      Sum += Server.SuccessRate;
+      Count += 1;
+    }
+  }
+  return Sum >= MinServiceRate * Count;
+}
+
 /**
  * Tells whether ejecting one more replica keeps enough of each shard.
  * @param Servers Directory.
@@ -91,7 +112,7 @@
       Server.ConsecutiveFailures >= Rules.EjectAfter ||
       (Server.SuccessRate < MinSuccessRate && Server.ConsecutiveFailures > 1);
   if (!Rules.Ejection || !Failing || !isUsable(Server, Now) ||
-      !ejectionKeepsReplicas(Servers, Index, Now)) {
+      !serviceWorks(Servers) || !ejectionKeepsReplicas(Servers, Index, Now)) {
     return false;
   }
   Duration Span = Rules.EjectTime;
