--- a/src/daemon/ticket_service.cpp
+++ b/src/daemon/ticket_service.cpp
@@ -100,7 +100,7 @@
   return this->Waiters.size();
 }
 
-void TicketService::submit(TicketedRequest Source, Callback Done) {
+void TicketService::submit(const TicketedRequest &Source, Callback Done) {
   auto Offered = once::parseTicket(Source.Ticket);
   if (!Offered) {
     // May come from a version with another format: nothing is known of it.
@@ -191,7 +191,7 @@
                  (Result.Decision == Verdict::Run && Ready.Source);
     if (Joins) {
       auto Added = std::make_shared<Waiter>(this->Context);
-      Added->Done = std::move(Done);
+      Added->Done = Done;
       if (Result.Decision == Verdict::Wait) {
         Added->Timer.expires_after(Source.DeadlineWall - wallNow());
         Added->Timer.async_wait(
--- a/src/daemon/ticket_service_base.h
+++ b/src/daemon/ticket_service_base.h
@@ -53,7 +53,7 @@
    * @param Source The request.
    * @param Done Called exactly once.
    */
-  void submit(TicketedRequest Source, Callback Done);
+  void submit(const TicketedRequest &Source, Callback Done);
 
   /** Forgets tickets that expired. @param Now Current time. */
   void expire(base::TimePoint Now);
--- a/src/once/ticket_func.cpp
+++ b/src/once/ticket_func.cpp
@@ -92,7 +92,7 @@
 }
 
 std::string formatTicket(const Ticket &Source) {
-  return signedText(Source) + "." + Source.Mac;
+  return signedText(Source).append(".").append(Source.Mac);
 }
 
 std::optional<Ticket> parseTicket(std::string_view Text) {
--- a/tests/model_check_test.cpp
+++ b/tests/model_check_test.cpp
@@ -180,7 +180,7 @@
     auto Add = [&](auto Change) {
       ConfigModel Next = *this;
       Change(Next);
-      All.push_back(std::move(Next));
+      All.push_back(Next);
     };
     for (size_t I = 0; I < InstanceCount; ++I) {
       if (!this->Up[I]) {
@@ -188,7 +188,8 @@
         continue;
       }
       // A read of the platform; a stale replica serves any older content.
-      for (uint8_t Content = 1; Content <= Published.size(); ++Content) {
+      for (size_t Index = 0; Index < Published.size(); ++Index) {
+        auto Content = static_cast<uint8_t>(Index + 1);
         Add([I, Content](ConfigModel &Next) { Next.offer(I, Content); });
       }
       // Push to another instance; it stays on its way across partitions.
@@ -199,7 +200,8 @@
           });
         }
       }
-      for (uint8_t Content = 1; Content <= Published.size(); ++Content) {
+      for (size_t Index = 0; Index < Published.size(); ++Index) {
+        auto Content = static_cast<uint8_t>(Index + 1);
         auto Bit = static_cast<uint8_t>(1U << Content);
         if ((this->Inbox[I] & Bit) != 0) {
           Add([I, Content, Bit](ConfigModel &Next) {
--- a/tests/peer_mesh.h
+++ b/tests/peer_mesh.h
@@ -53,9 +53,9 @@
   daemon::PeerCall callOf(const base::InstanceId &From) {
     return [Self = this->shared_from_this(),
             From](const base::InstanceId &Target, base::Incarnation,
-                  std::string Payload, base::TimePoint Deadline,
+                  const std::string &Payload, base::TimePoint Deadline,
                   std::function<void(daemon::PeerCallResult)> Done) {
-      Self->call(From, Target, std::move(Payload), Deadline, std::move(Done));
+      Self->call(From, Target, Payload, Deadline, std::move(Done));
     };
   }
 
@@ -81,7 +81,7 @@
   };
 
   void call(const base::InstanceId &From, const base::InstanceId &Target,
-            std::string Payload, base::TimePoint Deadline,
+            const std::string &Payload, base::TimePoint Deadline,
             std::function<void(daemon::PeerCallResult)> Done) {
     LinkMode Mode = LinkMode::Open;
     daemon::PeerCallHandler Handler;
--- a/tests/ticket_registry_test.cpp
+++ b/tests/ticket_registry_test.cpp
@@ -11,7 +11,6 @@
 using once::Ticket;
 using once::TicketPolicy;
 using once::TicketRegistry;
-using once::UseState;
 using once::Verdict;
 
 namespace {
