Look at the socket before taking a wait for readability as a disconnect

Cause: a reactor event for bytes that another read has consumed meanwhile completes a wait that was started afterwards. The server then found no bytes and took the caller for gone; the client pool closed a healthy idle connection.

Before: one full run of the tests lost 1 response of a query ("shedding servers get no retries beyond the budget": Result.Unanswered 1).

After: both sides peek at the input (MSG_PEEK) and wait again if there is nothing.

Conclusion: a disconnect is now read from the socket, not inferred.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "net/http_connection_base.h"
 
+#include "net/socket_func.h"
+
 #include <boost/asio/strand.hpp>
 #include <utility>
 
@@ -77,9 +79,14 @@
       tcp::socket::wait_read,
       [Self = this->shared_from_this()](beast::error_code Failure) {
         Self->IdleWatch = false;
-        if (!Failure && !Self->InExchange) {
-          Self->close(); // Closed by the server, or unsolicited bytes.
+        if (Failure || Self->InExchange) {
+          return;
+        }
+        if (peekInput(Self->Stream.socket()) == SocketInput::None) {
+          Self->watchWhileIdle();
+          return;
         }
+        Self->close(); // Closed by the server, or unsolicited bytes.
       });
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_server_base.h"
 
+#include "net/socket_func.h"
 #include "net/url_func.h"
 
 #include <atomic>
@@ -202,11 +203,16 @@
           if (Failure || Number != Self->CallNumber || !Self->Responding) {
             return;
           }
-          beast::error_code Ignored;
-          if (Self->Stream.socket().available(Ignored) != 0) {
-            return; // The client pipelines its next request.
+          switch (peekInput(Self->Stream.socket())) {
+          case SocketInput::None:
+            Self->watchForDisconnect();
+            break;
+          case SocketInput::Bytes:
+            break; // The client pipelines its next request.
+          case SocketInput::Closed:
+            Self->close();
+            break;
           }
-          Self->close();
         });
   }
 
