Run several suspects at once, spread over groups; canary by content

Cause: a crash of ten servers at once left 40 requests in flight as suspects, which ran alone one after another; the second run of a wide suspect used the group of the first crash, whose last replica then carried three times its load; a wide request with new values in a known shape had no canary.

--- a/src/config/document_func.cpp
+++ b/src/config/document_func.cpp
@@ -236,6 +236,13 @@
     Reader.fail(ErrorKind::OutOfRange, "snapshot",
                 "must be \"complete\" or \"newest\"");
   }
+  std::string Canary = Reader.text("canary", "shape");
+  if (Canary == "content") {
+    Doc.Canary = CanaryRule::Content;
+  } else if (Canary != "shape") {
+    Reader.fail(ErrorKind::OutOfRange, "canary",
+                "must be \"shape\" or \"content\"");
+  }
   Doc.OrderBy = Reader.text("order_by", "");
   Doc.Descending = Reader.boolean("descending", false);
   Doc.Limit = static_cast<uint32_t>(Reader.integer("limit", 1, MaxLimit, 100));
--- a/src/config/document_type.h
+++ b/src/config/document_type.h
@@ -43,6 +43,12 @@
   Newest,   ///< Newest version known, even if shards are missing.
 };
 
+/** Which wide queries send one attempt before the others. */
+enum class CanaryRule {
+  Shape,   ///< Those with a set of parameters that has not run lately.
+  Content, ///< Those with parameter values that have not run lately.
+};
+
 /** Properties of a backend service and of the path to it. */
 struct ServiceDoc {
   base::ServiceId Name;
@@ -65,6 +71,7 @@
   uint32_t Priority = 5;      ///< 0 is served first, 9 last.
   bool Idempotent = true;
   SnapshotRule Snapshot = SnapshotRule::Complete;
+  CanaryRule Canary = CanaryRule::Shape;
   std::string OrderBy; ///< Row member that orders the merge; may be empty.
   bool Descending = false;
   uint32_t Limit = 100; ///< Rows in an answer.
--- a/src/query/engine_admission.cpp
+++ b/src/query/engine_admission.cpp
@@ -183,7 +183,10 @@
   if (Rules.IsolateSuspects && this->Suspects.isSuspect(Parameters.Content)) {
     Query.Mode = QueryMode::Suspect;
   } else if (Rules.Canary && Query.Slots.size() >= Rules.WideShards &&
-             !this->Suspects.knowsShape(Parameters.Shape)) {
+             !this->Suspects.hasRun(Query.Source->Template->Canary ==
+                                            config::CanaryRule::Content
+                                        ? Parameters.Content
+                                        : Parameters.Shape)) {
     Query.Mode = QueryMode::Canary;
   }
 }
--- a/src/query/engine_base.h
+++ b/src/query/engine_base.h
@@ -234,8 +234,10 @@
             base::ServerIndex Server, bool Hedge, Actions &Out);
   void dequeue(QueryState &Query, Slot &Target);
   void pump(base::TimePoint Now, base::ServerIndex Server, Actions &Out);
-  void runNextSuspect(base::TimePoint Now, Actions &Out);
-  QueryState *activateNextSuspect(base::TimePoint Now, Actions &Out);
+  void runSuspects(base::TimePoint Now, Actions &Out);
+  bool settleSuspicion(base::TimePoint Now, QueryState &Query, Actions &Out);
+  std::optional<uint32_t> pickSuspectSlot(base::TimePoint Now,
+                                          const QueryState &Query) const;
   std::optional<base::ServerIndex> reserveServer(base::TimePoint Now,
                                                  QueryState &Query,
                                                  base::ShardIndex Shard,
@@ -293,7 +295,6 @@
   std::unordered_map<base::Fingerprint, base::QueryId> Running;
   std::priority_queue<Wake, std::vector<Wake>, std::greater<>> Wakes;
   std::deque<base::QueryId> SuspectQueue;
-  std::optional<base::QueryId> ActiveSuspect;
   /** Requests whose attempts were reset, until a probe gives the cause. */
   std::map<base::ServerIndex, std::vector<base::Fingerprint>> Resets;
   base::TimePoint LastPause;
--- a/src/query/engine_dispatch.cpp
+++ b/src/query/engine_dispatch.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
+#include <set>
 #include <utility>
 
 namespace hickorycrank::query {
@@ -17,6 +19,10 @@
 constexpr Duration DefaultMedian = std::chrono::milliseconds(5);
 /** Hedge delay before the latency has been learnt. */
 constexpr Duration DefaultHedgeDelay = std::chrono::milliseconds(50);
+/** One suspect at a time may have a server of its own per so many servers. A
+ * single turn for all took 400 ms for the 40 requests in flight when ten
+ * servers were lost at once. */
+constexpr size_t ServersPerSuspect = 6;
 
 } // namespace
 
@@ -54,7 +60,7 @@
 void Engine::startSlots(TimePoint Now, QueryState &Query, Actions &Out) {
   if (Query.Mode == QueryMode::Suspect) {
     this->SuspectQueue.push_back(Query.Id);
-    this->runNextSuspect(Now, Out);
+    this->runSuspects(Now, Out);
     return;
   }
   for (uint32_t I = 0; I < Query.Slots.size(); ++I) {
@@ -183,95 +189,117 @@
   return true;
 }
 
-QueryState *Engine::activateNextSuspect(TimePoint Now, Actions &Out) {
-  while (true) {
-    if (!this->ActiveSuspect) {
-      if (this->SuspectQueue.empty()) {
-        return nullptr;
-      }
-      this->ActiveSuspect = this->SuspectQueue.front();
-      this->SuspectQueue.pop_front();
-    }
-    QueryState *Query = this->find(*this->ActiveSuspect);
-    if (Query == nullptr || Query->Mode != QueryMode::Suspect) {
-      this->ActiveSuspect.reset();
-      continue;
-    }
-    base::Fingerprint Content = Query->Source->Parameters.Content;
-    if (this->Suspects.quarantinedUntil(Now, Content)) {
-      this->conclude(Now, *Query, Out);
-      this->ActiveSuspect.reset();
-      continue;
-    }
-    // Another run of the same request may have settled the suspicion.
-    if (!this->Suspects.isSuspect(Content)) {
-      this->releaseSuspect(Now, *Query, Out);
-      this->ActiveSuspect.reset();
-      Query->Mode = QueryMode::Normal;
-      this->startSlots(Now, *Query, Out);
-      this->scheduleWake(Now, *Query);
-      continue;
-    }
-    return Query;
+bool Engine::settleSuspicion(TimePoint Now, QueryState &Query, Actions &Out) {
+  base::Fingerprint Content = Query.Source->Parameters.Content;
+  if (this->Suspects.quarantinedUntil(Now, Content)) {
+    this->conclude(Now, Query, Out);
+    return true;
+  }
+  if (this->Suspects.isSuspect(Content)) {
+    return false;
   }
+  // Another run of the same request has cleared it.
+  this->releaseSuspect(Now, Query, Out);
+  Query.Mode = QueryMode::Normal;
+  this->startSlots(Now, Query, Out);
+  this->scheduleWake(Now, Query);
+  return true;
 }
 
 std::optional<ServerIndex> Engine::reserveServer(TimePoint Now,
                                                  QueryState &Query,
                                                  base::ShardIndex Shard,
                                                  Actions &Out) {
-  auto Version = this->Servers.versions().find(Query.Pinned.Version);
-  if (Version == this->Servers.versions().end()) {
-    return std::nullopt;
-  }
+  const auto &Holders =
+      this->Servers.versions().at(Query.Pinned.Version).Holders[Shard.Value];
   std::optional<ServerIndex> Chosen;
-  for (ServerIndex Index : Version->second.Holders[Shard.Value]) {
-    routing::ServerState &Server = this->Servers.at(Index);
-    bool Usable = routing::isUsable(Server, Now);
+  for (ServerIndex Index : Holders) {
+    const routing::ServerState &Server = this->Servers.at(Index);
+    if (!routing::isUsable(Server, Now)) {
+      continue;
+    }
     if (Server.ReservedFor == Query.Id) {
-      if (Usable) {
-        return Index;
-      }
-      Server.ReservedFor.reset(); // It went down; another one is needed.
-      this->pump(Now, Index, Out);
-    } else if (Usable && !Server.ReservedFor &&
-               (!Chosen ||
-                Server.Outstanding < this->Servers.at(*Chosen).Outstanding)) {
+      return Index;
+    }
+    if (!Server.ReservedFor &&
+        (!Chosen ||
+         Server.Outstanding < this->Servers.at(*Chosen).Outstanding)) {
       Chosen = Index;
     }
   }
+  // A reservation on a server that went down or holds another shard ends.
+  this->releaseSuspect(Now, Query, Out);
   if (Chosen) {
     this->Servers.at(*Chosen).ReservedFor = Query.Id;
   }
   return Chosen;
 }
 
-void Engine::runNextSuspect(TimePoint Now, Actions &Out) {
-  QueryState *Query = this->activateNextSuspect(Now, Out);
-  if (Query == nullptr) {
-    return;
+std::optional<uint32_t> Engine::pickSuspectSlot(TimePoint Now,
+                                                const QueryState &Query) const {
+  auto Version = this->Servers.versions().find(Query.Pinned.Version);
+  if (Version == this->Servers.versions().end()) {
+    return std::nullopt;
   }
-  auto IsInFlight = [](const Slot &Entry) {
-    return Entry.Phase == SlotPhase::InFlight;
-  };
-  // A slot in back-off waits for the verdict on its last server.
-  auto IsPending = [Now](const Slot &Entry) {
-    return Entry.Phase == SlotPhase::Held ||
-           (Entry.Phase == SlotPhase::Backoff && Entry.RetryAt <= Now);
-  };
-  if (Query->Source->Deadline <= Now ||
-      std::any_of(Query->Slots.begin(), Query->Slots.end(), IsInFlight)) {
-    return; // It runs, or attempts from before the suspicion still do.
+  std::optional<uint32_t> Best;
+  size_t MostReplicas = 0;
+  for (uint32_t I = 0; I < Query.Slots.size(); ++I) {
+    const Slot &Target = Query.Slots[I];
+    if (Target.Phase == SlotPhase::InFlight) {
+      return std::nullopt; // It runs, or attempts from before still do.
+    }
+    // A slot in back-off waits for the verdict on its last server.
+    bool Pending =
+        Target.Phase == SlotPhase::Held ||
+        (Target.Phase == SlotPhase::Backoff && Target.RetryAt <= Now);
+    if (!Pending) {
+      continue;
+    }
+    const auto &Holders = Version->second.Holders[Target.Shard.Value];
+    auto Usable = static_cast<size_t>(
+        std::count_if(Holders.begin(), Holders.end(), [&](ServerIndex Index) {
+          return routing::isUsable(this->Servers.at(Index), Now);
+        }));
+    if (Usable > MostReplicas) {
+      MostReplicas = Usable;
+      Best = I;
+    }
   }
-  auto Next = std::find_if(Query->Slots.begin(), Query->Slots.end(), IsPending);
-  if (Next == Query->Slots.end()) {
+  return Best;
+}
+
+void Engine::runSuspects(TimePoint Now, Actions &Out) {
+  if (this->SuspectQueue.empty()) {
     return;
   }
-  // Reserved, the server drains; the suspect is sent once it is alone there.
-  auto Chosen = this->reserveServer(Now, *Query, Next->Shard, Out);
-  if (Chosen && this->Servers.at(*Chosen).Outstanding == 0) {
-    this->send(Now, *Query, static_cast<uint32_t>(Next - Query->Slots.begin()),
-               *Chosen, false, Out);
+  size_t Turns =
+      std::max<size_t>(1, this->Servers.servers().size() / ServersPerSuspect);
+  std::set<base::Fingerprint> Running;
+  std::deque<base::QueryId> Queued = std::move(this->SuspectQueue);
+  this->SuspectQueue.clear();
+  for (base::QueryId Id : Queued) {
+    QueryState *Query = this->find(Id);
+    if (Query == nullptr || Query->Mode != QueryMode::Suspect ||
+        this->settleSuspicion(Now, *Query, Out)) {
+      continue;
+    }
+    this->SuspectQueue.push_back(Id);
+    // Repeats of one request wait for the verdict on the first.
+    bool HasTurn = Running.size() < Turns &&
+                   Running.insert(Query->Source->Parameters.Content).second;
+    if (!HasTurn || Query->Source->Deadline <= Now) {
+      continue;
+    }
+    auto Next = this->pickSuspectSlot(Now, *Query);
+    if (!Next) {
+      continue;
+    }
+    // Reserved, the server drains; the suspect is sent once it is alone there.
+    auto Chosen =
+        this->reserveServer(Now, *Query, Query->Slots[*Next].Shard, Out);
+    if (Chosen && this->Servers.at(*Chosen).Outstanding == 0) {
+      this->send(Now, *Query, *Next, *Chosen, false, Out);
+    }
   }
 }
 
@@ -282,9 +310,6 @@
       this->pump(Now, ServerIndex(I), Out);
     }
   }
-  if (this->ActiveSuspect == Query.Id) {
-    this->ActiveSuspect.reset();
-  }
 }
 
 } // namespace hickorycrank::query
--- a/src/query/engine_events.cpp
+++ b/src/query/engine_events.cpp
@@ -121,7 +121,7 @@
     this->onServerReport(Now, *Report, Out);
   }
   this->pump(Now, From, Out);
-  this->runNextSuspect(Now, Out);
+  this->runSuspects(Now, Out);
   return true;
 }
 
@@ -139,7 +139,10 @@
   ++Query.AnsweredSlots;
   const config::BoundParameters &Parameters = Query.Source->Parameters;
   if (Query.AnsweredSlots == 1) {
-    this->Suspects.recordShape(Parameters.Shape);
+    this->Suspects.recordRun(Query.Source->Template->Canary ==
+                                     config::CanaryRule::Content
+                                 ? Parameters.Content
+                                 : Parameters.Shape);
   }
   if (Query.Mode == QueryMode::Suspect) {
     this->Suspects.clear(Parameters.Content);
@@ -204,7 +207,7 @@
   }
   if (Change.Appeared) {
     this->pump(Now, *Index, Out);
-    this->runNextSuspect(Now, Out);
+    this->runSuspects(Now, Out);
   }
 }
 
@@ -253,12 +256,14 @@
         if (Target.Phase == SlotPhase::Waiting) {
           this->dequeue(*Query, Target);
           Target.Phase = SlotPhase::Held;
+        } else if (Target.Phase == SlotPhase::Backoff) {
+          Target.RetryAt = Now; // The verdict that it waited for is known.
         }
       }
       this->SuspectQueue.push_back(Id);
     }
   }
-  this->runNextSuspect(Now, Out);
+  this->runSuspects(Now, Out);
 }
 
 void Engine::onFact(TimePoint Now, const PublishFact &Fact, Actions &Out) {
--- a/src/query/engine_failure.cpp
+++ b/src/query/engine_failure.cpp
@@ -80,7 +80,7 @@
   this->slotFailed(Now, *Query, Ref.Slot, toReason(Kind), MayRetry, Out);
   this->concludeIfDone(Now, Ref.Query, Out);
   this->pump(Now, From, Out);
-  this->runNextSuspect(Now, Out);
+  this->runSuspects(Now, Out);
 }
 
 void Engine::giveUpSlot(Slot &Target, QueryState &Query) {
--- a/src/query/engine_progress.cpp
+++ b/src/query/engine_progress.cpp
@@ -101,7 +101,7 @@
     this->Wakes.pop();
     this->advance(Now, Id, Out);
   }
-  this->runNextSuspect(Now, Out);
+  this->runSuspects(Now, Out);
 }
 
 void Engine::onPause(TimePoint Now, Actions &Out) {
--- a/src/query/quarantine.cpp
+++ b/src/query/quarantine.cpp
@@ -1,5 +1,8 @@
 #include "query/quarantine_base.h"
 
+#include <iterator>
+#include <utility>
+
 namespace hickorycrank::query {
 
 using base::Fingerprint;
@@ -44,14 +47,16 @@
   return Found->second.QuarantinedUntil;
 }
 
-void Quarantine::recordShape(Fingerprint Shape) {
-  if (this->Shapes.size() < MaxShapes) {
-    this->Shapes.insert(Shape);
+void Quarantine::recordRun(Fingerprint Ran) {
+  if (this->RecentRuns.size() >= MaxRunsKept) {
+    this->OlderRuns = std::move(this->RecentRuns);
+    this->RecentRuns.clear();
   }
+  this->RecentRuns.insert(Ran);
 }
 
-bool Quarantine::knowsShape(Fingerprint Shape) const {
-  return this->Shapes.count(Shape) != 0;
+bool Quarantine::hasRun(Fingerprint Ran) const {
+  return this->RecentRuns.count(Ran) != 0 || this->OlderRuns.count(Ran) != 0;
 }
 
 void Quarantine::expire(TimePoint Now) {
--- a/src/query/quarantine_base.h
+++ b/src/query/quarantine_base.h
@@ -63,17 +63,17 @@
   quarantinedUntil(base::TimePoint Now, base::Fingerprint Request) const;
 
   /**
-   * Records that a shape of request has run without a crash.
-   * @param Shape The shape.
+   * Records that a shape or content of request has run without a crash.
+   * @param Ran The shape or content.
    */
-  void recordShape(base::Fingerprint Shape);
+  void recordRun(base::Fingerprint Ran);
 
   /**
-   * Tells whether a shape has run before.
-   * @param Shape The shape.
+   * Tells whether a shape or content has run lately.
+   * @param Ran The shape or content.
    * @return Whether it is known.
    */
-  bool knowsShape(base::Fingerprint Shape) const;
+  bool hasRun(base::Fingerprint Ran) const;
 
   /**
    * Forgets what has expired.
@@ -90,12 +90,13 @@
 
   /** Crashes after which a request is refused. */
   static constexpr uint32_t MaxCrashes = 2;
-  /** Bounds the memory that callers with ever new shapes can take. */
-  static constexpr size_t MaxShapes = 65'536;
+  /** Bounds the memory that callers with ever new contents can take. */
+  static constexpr size_t MaxRunsKept = 32'768;
 
   base::Duration QuarantineTime;
   std::unordered_map<base::Fingerprint, State> Requests;
-  std::unordered_set<base::Fingerprint> Shapes;
+  std::unordered_set<base::Fingerprint> RecentRuns;
+  std::unordered_set<base::Fingerprint> OlderRuns; ///< Until the next swap.
 };
 
 } // namespace hickorycrank::query
--- a/src/replay/session.cpp
+++ b/src/replay/session.cpp
@@ -106,6 +106,7 @@
     Template->CoverageFloor = Class.Floor;
     Template->Priority = Class.Priority;
     Template->Idempotent = Class.Idempotent;
+    Template->Canary = Class.Canary;
     Template->Limit = RowLimit;
     this->Templates.push_back(std::move(Template));
     auto Organisation = std::make_shared<config::OrganisationDoc>();
--- a/src/replay/trace_func.cpp
+++ b/src/replay/trace_func.cpp
@@ -163,6 +163,13 @@
   Reader.number("priority", Target.Priority);
   Reader.truth("idempotent", Target.Idempotent);
   Reader.number("distinct", Target.Distinct);
+  std::string Canary = "shape";
+  Reader.text("canary", Canary);
+  if (Canary == "content") {
+    Target.Canary = config::CanaryRule::Content;
+  } else if (Canary != "shape") {
+    return "canary must be shape or content";
+  }
   if (Selection == "by_key") {
     Target.Selection = config::ShardSelection::ByKey;
   } else if (Selection == "listed") {
--- a/src/replay/trace_type.h
+++ b/src/replay/trace_type.h
@@ -24,6 +24,7 @@
   double Floor = 0; ///< Coverage below which the answer is an error.
   uint32_t Priority = 5;
   bool Idempotent = true;
+  config::CanaryRule Canary = config::CanaryRule::Shape;
   uint32_t Distinct = 0; ///< Contents in use; 0: each request differs.
 };
 
