Take tickets from ready instances in the random fault test

Cause: under the thread sanitizer a restarted instance had no configuration yet when the test asked it for the next ticket; it refused not_ready, as it should, and the test took that for a ticket. Requests still go to instances that are not ready. Conclusion: the test waits for readiness where it needs it.

--- a/src/daemon/ticket_service.cpp
+++ b/src/daemon/ticket_service.cpp
@@ -191,7 +191,7 @@
                  (Result.Decision == Verdict::Run && Ready.Source);
     if (Joins) {
       auto Added = std::make_shared<Waiter>(this->Context);
-      Added->Done = Done;
+      Added->Done.swap(Done);
       if (Result.Decision == Verdict::Wait) {
         Added->Timer.expires_after(Source.DeadlineWall - wallNow());
         Added->Timer.async_wait(
--- a/src/once/ticket_func.cpp
+++ b/src/once/ticket_func.cpp
@@ -147,7 +147,7 @@
   }
   std::sort(Members.begin(), Members.end());
   for (const auto &[Key, Text] : Members) {
-    Canonical += Key + ":" + Text + ",";
+    Canonical.append(Key).append(":").append(Text).append(",");
   }
   return base::sha256Hex(Canonical);
 }
--- a/tests/ticket_daemon_test.cpp
+++ b/tests/ticket_daemon_test.cpp
@@ -332,6 +332,8 @@
       REQUIRE(Cluster.ready());
     }
     std::string Key = "random-" + std::to_string(Number);
+    // A new process issues tickets only once it has a configuration.
+    REQUIRE(Cluster.ready());
     std::string Ticket = Cluster.ticket(Draw.below(3));
     REQUIRE_FALSE(Ticket.empty());
     std::string FirstAnswer;
