--- a/src/routing/policy_type.h
+++ b/src/routing/policy_type.h
@@ -42,7 +42,7 @@
   base::Duration Ramp = std::chrono::seconds(10);
   /** A server of the own failure domain is preferred up to this multiple of
    * another one's cost; without a limit a local straggler got all the work. */
-  double OwnDomainAdvantage = 2;
+  double OwnDomainAdvantage = 1.2;
   double RampStart = 0.10; ///< Weight of a server that just appeared.
   base::Duration ReportHalfLife = std::chrono::seconds(1);
   double ReportInfluence = 0.25; ///< Largest relative change of a cost.
