--- a/bench/stand_ins.cpp
+++ b/bench/stand_ins.cpp
@@ -37,13 +37,13 @@
     for (uint32_t I = 0; I < FanOut; ++I) {
       Shards.append("\"stock-shard-").append(std::to_string(I)).append("\", ");
     }
-    Documents["template/" + Name] =
-        "kind = \"template\"\nname = \"" + Name +
-        "\"\nservice = \"stock\"\nshards = " + Shards +
-        "]\ndeadline_ms = 5000\ncoverage_goal = 1.0\ncoverage_floor = 0.5\n"
-        "order_by = \"stock\"\nlimit = 100\n\n[parameters.colour]\n"
-        "type = \"text\"\n";
-    Organisation += "\n[templates." + Name + "]\n";
+    std::string &Text = Documents["template/" + Name];
+    Text.append("kind = \"template\"\nname = \"").append(Name);
+    Text.append("\"\nservice = \"stock\"\nshards = ").append(Shards);
+    Text.append("]\ndeadline_ms = 5000\ncoverage_goal = 1.0\n"
+                "coverage_floor = 0.5\norder_by = \"stock\"\nlimit = 100\n\n"
+                "[parameters.colour]\ntype = \"text\"\n");
+    Organisation.append("\n[templates.").append(Name).append("]\n");
   }
   Documents["organisation/bench"] = Organisation;
   return Documents;
