Store equal layouts of the backend servers once

Cause: each report is decoded to a layout of its own, and the directory kept one for each server, so that the heap grew with servers times shards.

--- a/src/routing/directory.cpp
+++ b/src/routing/directory.cpp
@@ -119,6 +119,7 @@
       Report.HasVersions && !holdsSame(Server.Versions, Report.Versions);
   if (NewVersions) {
     Server.Versions = Report.Versions;
+    this->shareLayouts(Server.Versions);
   }
   if (Report.Leaving) {
     Change.NowLeaving = Server.Phase != ServerPhase::Leaving;
@@ -179,6 +180,16 @@
   return Found->second;
 }
 
+void Directory::shareLayouts(std::vector<VersionReport> &Held) const {
+  for (VersionReport &Entry : Held) {
+    auto Known = this->Versions.find(Entry.Shards->Version);
+    if (Known != this->Versions.end() && Known->second.Shards &&
+        Known->second.Shards->Shards == Entry.Shards->Shards) {
+      Entry.Shards = Known->second.Shards;
+    }
+  }
+}
+
 void Directory::rebuildVersions() {
   this->Versions.clear();
   for (uint32_t I = 0; I < this->Servers.size(); ++I) {
--- a/src/routing/directory_base.h
+++ b/src/routing/directory_base.h
@@ -112,6 +112,9 @@
 
 private:
   void rebuildVersions();
+  /** Each report is decoded to a layout of its own; equal ones are stored once.
+   */
+  void shareLayouts(std::vector<VersionReport> &Held) const;
 
   Policy Rules;
   double InitialLimit;
