--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo packages build test format thrift
+.PHONY: demo packages build test format thrift capacity
 
 packages:
 	ci/packages
@@ -19,3 +19,7 @@
 # Needs the package thrift-compiler; only after a change of peer.thrift.
 thrift:
 	thrift --gen cpp:no_skeleton -out src/gen thrift/peer.thrift
+
+# Measures for some minutes; the page says what the machine was like.
+capacity: build
+	ci/capacity measure
--- a/bench/path.cpp
+++ b/bench/path.cpp
@@ -85,8 +85,12 @@
 /** Asks the platform for the backend servers. @return In order of group. */
 std::vector<config::Endpoint> findServers(boost::asio::io_context &Context,
                                           const config::Endpoint &Platform) {
-  auto List = net::decodeInstances(
-      get(Context, Platform, "/v1/instances?after=0&wait_ms=0"));
+  std::string Body = get(Context, Platform, "/v1/instances?after=0&wait_ms=0");
+  auto List = net::decodeInstances(Body);
+  std::cout << json::object{{"kind", "platform_list"},
+                            {"entries", List.value().Entries.size()},
+                            {"bytes", Body.size()}}
+            << std::endl;
   std::vector<config::Endpoint> Servers(size_t{WideGroups} *
                                         bench::ReplicaCount);
   for (const net::InstanceListing &Entry : List.value().Entries) {
