--- a/src/standin/demo.cpp
+++ b/src/standin/demo.cpp
@@ -68,6 +68,12 @@
                                 std::to_string(Generator.below(100'000)) +
                                 "\"}";
                        }});
+  Plan.Load.push_back({"stock-reorder", Keys, 5, [](base::Random &Generator) {
+                         return R"({"key":"order-)" +
+                                std::to_string(Generator.next()) +
+                                R"(","amount":)" +
+                                std::to_string(1 + Generator.below(500)) + "}";
+                       }});
   Plan.Example = 2;
   return Plan;
 }
@@ -92,6 +98,10 @@
                                 std::to_string(1 + Generator.below(1'000'000)) +
                                 "}";
                        }});
+  Plan.Load.push_back({"address-check", Keys, 10, [](base::Random &Generator) {
+                         return R"({"key":"address-)" +
+                                std::to_string(Generator.next()) + "\"}";
+                       }});
   Plan.Example = 1;
   return Plan;
 }
--- a/src/standin/load_generator.cpp
+++ b/src/standin/load_generator.cpp
@@ -147,6 +147,13 @@
   const auto *Failure = std::get_if<net::ExchangeError>(&Result);
   json::object Body =
       Response != nullptr ? parseBody(Response->Body) : json::object();
+  const json::value *Ticket = Body.if_contains("ticket");
+  bool IsFirst = Sent->Request.Headers.count("X-Ticket") == 0;
+  if (Ticket != nullptr && Ticket->is_string() && IsFirst) {
+    Sent->Request.Headers["X-Ticket"] = std::string(Ticket->get_string());
+    this->send(Sent);
+    return;
+  }
   // Neither a stopping instance nor one that cannot be reached ran it.
   bool Elsewhere =
       refusalKind(Body) == "shutting_down" ||
--- a/src/standin/load_generator_base.h
+++ b/src/standin/load_generator_base.h
@@ -23,7 +23,8 @@
  * ones have been answered (open loop), so that a stall is not hidden by fewer
  * requests. Instances are used in turn; one that refuses with shutting_down
  * gets no more requests, as behind the platform's load balancer, and the
- * refused request goes to another instance.
+ * refused request goes to another instance. A request that needs a ticket is
+ * sent again with the one that its refusal carries.
  */
 class LoadGenerator {
 public:
