Give up a suspect's shard that no live server holds

Cause: a request in flight at a crash becomes a suspect and waits for a server of its own; with every holder of the shard down it waited for its deadline.

Before: in 5 of 20 runs of the loopback tests, five at a time, "with all servers down a query is refused at once" got deadline_exceeded after 5.0 s.

After: such shards are given up and the query is concluded at the next tick. 20 of 20 runs, five at a time, passed.

Conclusion: suspects follow the same rule as other queries when no server is left.

--- a/src/query/engine_dispatch.cpp
+++ b/src/query/engine_dispatch.cpp
@@ -263,6 +263,15 @@
       std::any_of(Query->Slots.begin(), Query->Slots.end(), IsInFlight)) {
     return; // It runs, or attempts from before the suspicion still do.
   }
+  for (Slot &Entry : Query->Slots) {
+    if (IsPending(Entry) &&
+        !this->hasLiveHolder(Query->Pinned.Version, Entry.Shard)) {
+      Entry.LastReason = RetryReason::Connect;
+      this->giveUpSlot(Entry, *Query);
+      // Concluded at the next tick; callers still refer to the query.
+      this->wakeBy(Now, *Query, Now);
+    }
+  }
   auto Next = std::find_if(Query->Slots.begin(), Query->Slots.end(), IsPending);
   if (Next == Query->Slots.end()) {
     return;
