--- a/src/standin/backend_server.cpp
+++ b/src/standin/backend_server.cpp
@@ -91,7 +91,9 @@
 
 BackendCounters BackendServer::counters() const {
   std::lock_guard Lock(this->Mutex);
-  return this->Counters;
+  BackendCounters Copy = this->Counters;
+  Copy.Accepted = this->Server.counters().Accepted;
+  return Copy;
 }
 
 std::string BackendServer::reportText(bool WithVersions) const {
@@ -192,7 +194,7 @@
   Entry->Shard = Body.at("shard").as_string().c_str();
   Entry->Version = Body.at("version").to_number<uint64_t>();
   Entry->Limit = Body.at("limit").to_number<uint64_t>();
-  Entry->Body = Call.Request.Body;
+  Entry->Parameters = json::serialize(Body.at("parameters"));
   Entry->Respond = Call.Respond;
   Entry->Timer = std::make_shared<boost::asio::steady_timer>(this->Context);
   const char *Status = nullptr;
@@ -298,6 +300,11 @@
         {"records_total", RecordsPerShard},
         {"rows", makeRows(Finished->Shard, Finished->Version, Finished->Limit)},
         {"report", json::parse(this->reportText(false))}};
+    if (this->Behaviour.EchoParameters) {
+      for (json::value &Row : Body.at("rows").as_array()) {
+        Row.as_object()["parameters"] = json::parse(Finished->Parameters);
+      }
+    }
   }
   net::HttpResponse Response;
   Response.Body = json::serialize(Body);
--- a/src/standin/backend_server_base.h
+++ b/src/standin/backend_server_base.h
@@ -27,13 +27,14 @@
   std::chrono::microseconds ServiceTime{2'000}; ///< Mean; exponential tail.
   double Slowdown = 1;                          ///< Factor, for stragglers.
   bool Leaving = false;
-  bool Silent = false;      ///< Accepts requests and never replies.
-  bool FailAll = false;     ///< Replies with errors at once.
-  bool ShedAll = false;     ///< Sheds everything.
-  bool WrongEcho = false;   ///< Replies with another attempt's id.
-  bool Garbage = false;     ///< Replies with text that is no JSON.
-  std::string CrashText;    ///< Crashes on a request that holds this text.
-  double ReportedLoad = -1; ///< Overrides the true load unless negative.
+  bool Silent = false;         ///< Accepts requests and never replies.
+  bool FailAll = false;        ///< Replies with errors at once.
+  bool ShedAll = false;        ///< Sheds everything.
+  bool WrongEcho = false;      ///< Replies with another attempt's id.
+  bool Garbage = false;        ///< Replies with text that is no JSON.
+  bool EchoParameters = false; ///< Rows carry the parameters of the request.
+  std::string CrashText;       ///< Crashes on a request that holds this text.
+  double ReportedLoad = -1;    ///< Overrides the true load unless negative.
 };
 
 /** One index version of a stand-in. */
@@ -52,6 +53,7 @@
   uint64_t Expired = 0;
   uint64_t LastSearchMs = 0; ///< Steady clock, when the last search arrived.
   uint64_t MaxConnections = 0;
+  uint64_t Accepted = 0;                     ///< Connections since the start.
   std::map<std::string, uint64_t> RunsByKey; ///< Runs by the "key" parameter.
 };
 
@@ -95,7 +97,7 @@
     std::string Shard;
     uint64_t Version = 0;
     uint64_t Limit = 10;
-    std::string Body;
+    std::string Parameters; ///< JSON text.
     std::function<void(net::HttpResponse)> Respond;
     std::shared_ptr<boost::asio::steady_timer> Timer;
     bool Done = false;
--- /dev/null
+++ b/tests/caller_failure_test.cpp
@@ -0,0 +1,178 @@
+// Callers that disconnect, are late, or send what they must not, on loopback.
+#include "loopback.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hickorycrank;
+using namespace hickorycrank::tests;
+using standin::BackendBehaviour;
+
+namespace {
+
+constexpr std::chrono::seconds CloseLimit(5);
+
+/** Sends a query with a deadline header. */
+CallerResponse askWithDeadline(Loopback &Cluster, const std::string &Deadline,
+                               const std::string &Colour) {
+  net::HttpRequest Request;
+  Request.Method = "POST";
+  Request.Path = "/v1/query/cart-search";
+  Request.Headers["Authorization"] = "Bearer nube-rosa:nube-rosa-demo-key";
+  Request.Headers["X-Deadline-Ms"] = Deadline;
+  Request.Body = R"({"colour":")" + Colour + "\"}";
+  return call(Cluster.Running.Context, Cluster.Instances[0]->callers(),
+              std::move(Request));
+}
+
+/** Searches cancelled at all servers of the stock service. */
+uint64_t cancelledSearches(Loopback &Cluster) {
+  uint64_t Total = 0;
+  for (size_t I = 0; I < Cluster.Stand.serverCount("stock"); ++I) {
+    Total += Cluster.Stand.server("stock", I).counters().Cancelled;
+  }
+  return Total;
+}
+
+/** Status line of a response. */
+std::string statusLine(const std::optional<std::string> &Bytes) {
+  return Bytes ? Bytes->substr(0, Bytes->find("\r\n")) : "no close";
+}
+
+} // namespace
+
+// Guards against work at backend servers for a caller that has gone.
+TEST_CASE("a caller that disconnects cancels its work", "[caller]") {
+  Loopback Cluster(1);
+  REQUIRE(Cluster.waitUntilServing(0));
+  Cluster.changeStock([](BackendBehaviour &How) { How.Slowdown = 1'000; });
+  uint64_t Before = Cluster.Stand.searches("stock");
+  uint64_t Cancelled = cancelledSearches(Cluster);
+  RawCaller Caller(Cluster.Instances[0]->callers());
+  Caller.write(queryText("stock-sweep", R"({"week":20})"));
+  REQUIRE(eventually([&] { return Cluster.Stand.searches("stock") > Before; }));
+  CHECK(Cluster.stockStatus(0).LiveQueries == 1);
+  Caller.close();
+  CHECK(eventually([&] { return Cluster.stockStatus(0).LiveQueries == 0; }));
+  CHECK(eventually([&] { return cancelledSearches(Cluster) > Cancelled; }));
+}
+
+// Guards against an instance that waits at its stop for the response to a
+// caller that has gone.
+TEST_CASE("a request whose caller has gone is not in progress any more",
+          "[caller]") {
+  Runner Running(2);
+  std::mutex Mutex;
+  std::vector<net::HttpCall> Calls;
+  std::atomic<bool> Gone{false};
+  net::HttpServer Server(Running.Context, config::Endpoint{}, net::HttpLimits{},
+                         [&](net::HttpCall Call) {
+                           Call.OnDisconnect([&Gone] { Gone = true; });
+                           std::lock_guard Lock(Mutex);
+                           Calls.push_back(std::move(Call));
+                         });
+  Server.start();
+  RawCaller Caller(Server.endpoint());
+  Caller.write(queryText("stock-sweep", "{}"));
+  REQUIRE(eventually([&] { return Server.requestsInProgress() == 1; }));
+  Caller.close();
+  CHECK(eventually([&] { return Gone.load(); }));
+  CHECK(eventually([&] { return Server.requestsInProgress() == 0; }));
+  Running.join();
+}
+
+// Guards against work for a caller that cannot use the answer any more, and
+// against deadlines that wrap round.
+TEST_CASE("a deadline that has passed is refused without work", "[caller]") {
+  Loopback Cluster(1);
+  REQUIRE(Cluster.waitUntilServing(0));
+  uint64_t Before = Cluster.Stand.searches("stock");
+  for (const char *Past : {"0", "-1", "-9223372036854775808"}) {
+    auto Response = askWithDeadline(Cluster, Past, "late");
+    CHECK(Response.Status == 504);
+    CHECK(kindOf(Response) == "deadline_passed");
+    CHECK(ranOf(Response) == "not_run");
+  }
+  for (const char *Bad : {"soon", "1.5", "", "99999999999999999999"}) {
+    CHECK(kindOf(askWithDeadline(Cluster, Bad, "late")) == "bad_request");
+  }
+  CHECK(Cluster.Stand.searches("stock") == Before);
+  // A deadline beyond the template's is cut to it.
+  CHECK(isWhole(askWithDeadline(Cluster, "9223372036854775807", "early")));
+}
+
+// Guards against memory taken by oversized requests, and against a refusal
+// that the caller cannot read because the connection was reset.
+TEST_CASE("oversized requests get a typed refusal", "[caller]") {
+  Loopback Cluster(1);
+  REQUIRE(Cluster.waitUntilServing(0));
+  RawCaller LongBody(Cluster.Instances[0]->callers());
+  LongBody.write(queryText("cart-search", std::string(200'000, ' ')));
+  auto Refusal = LongBody.readAll(CloseLimit);
+  CHECK(statusLine(Refusal) == "HTTP/1.1 413 Payload Too Large");
+  CHECK(Refusal.value_or("").find("too_large") != std::string::npos);
+  RawCaller LongHeader(Cluster.Instances[0]->callers());
+  LongHeader.write("GET / HTTP/1.1\r\nX-Long: " + std::string(20'000, 'x') +
+                   "\r\n\r\n");
+  Refusal = LongHeader.readAll(CloseLimit);
+  CHECK(statusLine(Refusal) == "HTTP/1.1 413 Payload Too Large");
+  CHECK(isWhole(Cluster.ask(0, "cart-search", R"({"colour":"pink"})")));
+}
+
+// Guards against running a request that did not arrive whole.
+TEST_CASE("truncated and malformed requests are not run", "[caller]") {
+  Loopback Cluster(1);
+  REQUIRE(Cluster.waitUntilServing(0));
+  uint64_t Before = Cluster.Stand.searches("stock");
+  std::string Whole = queryText("cart-search", R"({"colour":"cut"})");
+  for (size_t Length : {size_t(1), size_t(30), Whole.size() - 1}) {
+    RawCaller Caller(Cluster.Instances[0]->callers());
+    Caller.write(Whole.substr(0, Length));
+    Caller.close();
+  }
+  RawCaller Malformed(Cluster.Instances[0]->callers());
+  Malformed.write("\x01\x02 not HTTP at all\r\n\r\n");
+  CHECK(statusLine(Malformed.readAll(CloseLimit)) ==
+        "HTTP/1.1 400 Bad Request");
+  CHECK(Cluster.Stand.searches("stock") == Before);
+  CHECK(isWhole(Cluster.ask(0, "cart-search", R"({"colour":"pink"})")));
+}
+
+// Guards against connections that are held open by requests that never end.
+TEST_CASE("a request that arrives too slowly loses its connection",
+          "[caller]") {
+  Loopback Cluster(1, 3, [](config::Settings &Own) {
+    Own.RequestReadTimeout = std::chrono::milliseconds(100);
+    Own.IdleTimeout = std::chrono::milliseconds(200);
+  });
+  REQUIRE(Cluster.waitUntilServing(0));
+  RawCaller Slow(Cluster.Instances[0]->callers());
+  Slow.write("POST /v1/query/cart-search HTTP/1.1\r\n");
+  RawCaller Idle(Cluster.Instances[0]->callers());
+  CHECK(isWhole(Cluster.ask(0, "cart-search", R"({"colour":"pink"})")));
+  CHECK(Slow.readAll(CloseLimit).has_value());
+  CHECK(Idle.readAll(CloseLimit).has_value());
+}
+
+// Guards against use of another organisation's template, and against telling
+// that it exists.
+TEST_CASE("another organisation's template is refused like an unknown one",
+          "[caller]") {
+  Loopback Cluster(1);
+  REQUIRE(Cluster.waitUntilServing(0));
+  auto Changed = Cluster.Documents;
+  std::string &Other = Changed.at("organisation/algodon-azul");
+  size_t Sweep = Other.find("[templates.stock-sweep]");
+  Other.erase(Sweep, Other.find("[templates.permit-lookup]") - Sweep);
+  Cluster.Stand.platform().publish(2, Changed);
+  REQUIRE(eventually([&] {
+    return Cluster.Instances[0]->tier().configurationVersion().Number.Value ==
+           2;
+  }));
+  auto Foreign =
+      Cluster.ask(0, "stock-sweep", R"({"week":21})", "algodon-azul");
+  auto Unknown = Cluster.ask(0, "no-such", R"({"week":21})", "algodon-azul");
+  CHECK(kindOf(Foreign) == "unknown_template");
+  CHECK(Foreign.Status == Unknown.Status);
+  CHECK(Foreign.Body.at("error") == Unknown.Body.at("error"));
+  CHECK(isWhole(Cluster.ask(0, "stock-sweep", R"({"week":21})")));
+}
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -5,14 +5,25 @@
 #include "daemon/instance_base.h"
 #include "net/http_pool_base.h"
 #include "standin/deployment_base.h"
+#include "standin/load_generator_base.h"
 
+#include <array>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/json.hpp>
+#include <cerrno>
+#include <functional>
 #include <future>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <sys/socket.h>
+#include <sys/time.h>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace hickorycrank::tests {
@@ -106,20 +117,108 @@
   return Holds();
 }
 
+/** Name of the kind of a refusal; empty if the response is none. */
+inline std::string kindOf(const CallerResponse &Response) {
+  const auto *Error = Response.Body.if_contains("error");
+  return Error == nullptr
+             ? std::string()
+             : std::string(Error->as_object().at("kind").as_string());
+}
+
+/** Whether a refused request ran, as the refusal says; empty if it is none. */
+inline std::string ranOf(const CallerResponse &Response) {
+  const auto *Error = Response.Body.if_contains("error");
+  return Error == nullptr
+             ? std::string()
+             : std::string(Error->as_object().at("ran").as_string());
+}
+
+/** Whether a response is an answer to which every shard contributed. */
+inline bool isWhole(const CallerResponse &Response) {
+  if (Response.Status != 200) {
+    return false;
+  }
+  const auto &Covered = Response.Body.at("coverage").as_object();
+  return Covered.at("expected") == Covered.at("answered");
+}
+
+/** A caller that writes bytes of its own choice to a socket. */
+class RawCaller {
+public:
+  explicit RawCaller(const config::Endpoint &Target) : Socket(Context) {
+    this->Socket.connect(
+        {boost::asio::ip::make_address(Target.Address), Target.Port});
+  }
+
+  /** Sends bytes; the peer may have closed already. */
+  void write(const std::string &Bytes) {
+    boost::system::error_code Ignored;
+    boost::asio::write(this->Socket, boost::asio::buffer(Bytes), Ignored);
+  }
+
+  /** Reads until the peer closes. @return All bytes; nothing on a time-out. */
+  std::optional<std::string> readAll(std::chrono::seconds Limit) {
+    timeval Span{};
+    Span.tv_sec = Limit.count();
+    setsockopt(this->Socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &Span,
+               sizeof(Span));
+    std::string Bytes;
+    std::array<char, 4096> Part{};
+    while (true) {
+      ssize_t Count =
+          recv(this->Socket.native_handle(), Part.data(), Part.size(), 0);
+      if (Count > 0) {
+        Bytes.append(Part.data(), static_cast<size_t>(Count));
+        continue;
+      }
+      bool TimedOut = Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+      return TimedOut ? std::nullopt : std::optional<std::string>(Bytes);
+    }
+  }
+
+  void close() { this->Socket.close(); }
+
+private:
+  boost::asio::io_context Context;
+  boost::asio::ip::tcp::socket Socket;
+};
+
+/** Writes a query as HTTP text, for RawCaller. */
+inline std::string queryText(const std::string &Template,
+                             const std::string &Parameters) {
+  return "POST /v1/query/" + Template +
+         " HTTP/1.1\r\nHost: tier\r\nAuthorization: Bearer "
+         "nube-rosa:nube-rosa-demo-key\r\nContent-Length: " +
+         std::to_string(Parameters.size()) + "\r\n\r\n" + Parameters;
+}
+
 /** A deployment of the consortium with some entry instances. */
 class Loopback {
 public:
-  explicit Loopback(size_t InstanceCount, uint32_t Groups = 3)
-      : Running(4), Stand(Running.Context, plan(Groups)) {
-    this->Stand.platform().publish(
-        1, standin::readDocuments(std::string(HICKORYCRANK_SOURCE_DIR) +
-                                  "/examples/consortium"));
+  explicit Loopback(
+      size_t InstanceCount, uint32_t Groups = 3,
+      const std::function<void(config::Settings &)> &Adjust = nullptr)
+      : Running(4), Stand(Running.Context, plan(Groups)),
+        Documents(standin::readDocuments(std::string(HICKORYCRANK_SOURCE_DIR) +
+                                         "/examples/consortium")) {
+    this->Stand.platform().publish(1, this->Documents);
     for (size_t I = 0; I < InstanceCount; ++I) {
-      this->Instances.push_back(std::make_shared<daemon::Instance>(
-          this->Running.Context,
-          this->Stand.entrySettings("entry-" + std::to_string(I), I)));
-      this->Instances.back()->start();
+      this->addInstance(Adjust);
+    }
+  }
+
+  /** Starts one more entry instance. */
+  void
+  addInstance(const std::function<void(config::Settings &)> &Adjust = nullptr) {
+    size_t Index = this->Instances.size();
+    config::Settings Own =
+        this->Stand.entrySettings("entry-" + std::to_string(Index), Index);
+    if (Adjust) {
+      Adjust(Own);
     }
+    this->Instances.push_back(
+        std::make_shared<daemon::Instance>(this->Running.Context, Own));
+    this->Instances.back()->start();
   }
 
   ~Loopback() { this->Running.join(); }
@@ -137,12 +236,7 @@
   /** Waits until an instance answers a cart search with full coverage. */
   bool waitUntilServing(size_t Index) {
     return eventually([&] {
-      auto Response = this->ask(Index, "cart-search", R"({"colour":"pink"})");
-      if (Response.Status != 200) {
-        return false;
-      }
-      const auto &Covered = Response.Body.at("coverage").as_object();
-      return Covered.at("expected") == Covered.at("answered");
+      return isWhole(this->ask(Index, "cart-search", R"({"colour":"pink"})"));
     });
   }
 
@@ -153,8 +247,53 @@
                  Organisation, Template, Parameters);
   }
 
+  /** Changes all backend servers of the stock service. */
+  void
+  changeStock(const std::function<void(standin::BackendBehaviour &)> &Change) {
+    for (size_t I = 0; I < this->Stand.serverCount("stock"); ++I) {
+      this->Stand.server("stock", I).change(Change);
+    }
+  }
+
+  /** What one instance shows of the stock service. */
+  daemon::ServiceStatus stockStatus(size_t Index) {
+    for (daemon::ServiceStatus &Status :
+         this->Instances[Index]->tier().status()) {
+      if (Status.Service == "stock") {
+        return std::move(Status);
+      }
+    }
+    return {};
+  }
+
+  /** Engine counters of the stock service at one instance. */
+  query::EngineCounters stockCounters(size_t Index) {
+    return this->stockStatus(Index).Counters;
+  }
+
+  /** Callers of all instances that send cart searches with own colours. */
+  std::unique_ptr<standin::LoadGenerator> callers(uint64_t Seed) {
+    std::vector<config::Endpoint> Targets;
+    for (const auto &Entry : this->Instances) {
+      Targets.push_back(Entry->callers());
+    }
+    return std::make_unique<standin::LoadGenerator>(this->Running.Context,
+                                                    Targets, Seed);
+  }
+
+  static standin::Workload cartSearch(double PerSecond) {
+    return {"cart-search",
+            {"nube-rosa:nube-rosa-demo-key"},
+            PerSecond,
+            [](base::Random &Generator) {
+              return R"({"colour":"c)" +
+                     std::to_string(Generator.below(1'000'000'000)) + "\"}";
+            }};
+  }
+
   Runner Running;
   standin::Deployment Stand;
+  std::map<std::string, std::string> Documents; ///< Published at the start.
   std::vector<std::shared_ptr<daemon::Instance>> Instances;
 };
 
