--- a/src/query/engine_base.h
+++ b/src/query/engine_base.h
@@ -236,6 +236,7 @@
   void pump(base::TimePoint Now, base::ServerIndex Server, Actions &Out);
   void runSuspects(base::TimePoint Now, Actions &Out);
   bool settleSuspicion(base::TimePoint Now, QueryState &Query, Actions &Out);
+  void giveUpUnheldSlots(base::TimePoint Now, QueryState &Query);
   std::optional<uint32_t> pickSuspectSlot(base::TimePoint Now,
                                           const QueryState &Query) const;
   std::optional<base::ServerIndex> reserveServer(base::TimePoint Now,
--- a/src/query/engine_dispatch.cpp
+++ b/src/query/engine_dispatch.cpp
@@ -268,6 +268,19 @@
   return Best;
 }
 
+void Engine::giveUpUnheldSlots(TimePoint Now, QueryState &Query) {
+  for (Slot &Target : Query.Slots) {
+    bool Pending =
+        Target.Phase == SlotPhase::Held || Target.Phase == SlotPhase::Backoff;
+    if (Pending && !this->hasLiveHolder(Query.Pinned.Version, Target.Shard)) {
+      Target.LastReason = RetryReason::Connect;
+      this->giveUpSlot(Target, Query);
+      // Concluded at the next tick; callers still refer to the query.
+      this->wakeBy(Now, Query, Now);
+    }
+  }
+}
+
 void Engine::runSuspects(TimePoint Now, Actions &Out) {
   if (this->SuspectQueue.empty()) {
     return;
@@ -290,6 +303,7 @@
     if (!HasTurn || Query->Source->Deadline <= Now) {
       continue;
     }
+    this->giveUpUnheldSlots(Now, *Query);
     auto Next = this->pickSuspectSlot(Now, *Query);
     if (!Next) {
       continue;
--- a/tests/peer_daemon_test.cpp
+++ b/tests/peer_daemon_test.cpp
@@ -283,8 +283,10 @@
     return Future.get();
   };
   using daemon::PeerCallError;
+  // An instance serves tickets from its start; here nothing serves calls.
+  Issuer.setCallHandler(nullptr);
   CHECK(std::get<PeerCallError>(Ask(Issuer.process(), 2s)) ==
-        PeerCallError::NotSent); // No handler yet.
+        PeerCallError::NotSent);
   Issuer.setCallHandler(
       [](std::string Payload, std::function<void(std::string)> Reply) {
         Reply(Payload + " served");
