Finish each peer call at one place; test a start with peers only

After: every call ends in finishCall. The test removes the handler first and checks the same.

Conclusion: run the whole suite, also under both sanitizers, when the machine is quieter; address,undefined was not run.

--- a/src/daemon/peer_node.cpp
+++ b/src/daemon/peer_node.cpp
@@ -224,21 +224,22 @@
 void PeerNode::call(const base::InstanceId &Target, base::Incarnation Process,
                     std::string Payload, base::TimePoint Deadline,
                     std::function<void(PeerCallResult)> Done) {
-  std::optional<peers::SendMessage> Message;
   uint64_t Id = 0;
-  if (Payload.size() <= net::MaxPeerPayloadBytes) {
+  std::optional<peers::SendMessage> Message;
+  {
+    auto Timer = std::make_shared<boost::asio::steady_timer>(this->Context);
+    Timer->expires_at(Deadline);
     std::lock_guard Lock(this->Mutex);
     Id = this->NextCall++;
+    this->Calls[Id] = {Target, std::move(Done), Timer};
     const peers::MemberRecord *Known = this->Node.members().find(Target);
     bool Replaced = Known != nullptr && Known->View.Process > Process;
-    if (!Replaced) {
+    if (!Replaced && Payload.size() <= net::MaxPeerPayloadBytes) {
       Message = this->Node.compose(
           Clock::now(), Target,
           peers::ForwardOnce{Id, Process, std::move(Payload)});
     }
     if (Message) {
-      auto Timer = std::make_shared<boost::asio::steady_timer>(this->Context);
-      Timer->expires_at(Deadline);
       Timer->async_wait([Weak = this->weak_from_this(),
                          Id](boost::system::error_code Failure) {
         auto Self = Weak.lock();
@@ -246,13 +247,10 @@
           Self->finishCall(Id, PeerCallError::NoReply);
         }
       });
-      this->Calls[Id] = {Target, std::move(Done), std::move(Timer)};
     }
   }
   if (!Message) {
-    boost::asio::post(this->Context, [Done = std::move(Done)] {
-      Done(PeerCallError::NotSent);
-    });
+    this->finishCall(Id, PeerCallError::NotSent);
     return;
   }
   this->Transport->send(Message->Address, Message->Message, false,
--- a/src/net/peer_transport_base.h
+++ b/src/net/peer_transport_base.h
@@ -25,7 +25,7 @@
 /** Limits of the connections between instances. */
 struct PeerLimits {
   uint32_t MaxConnections = 2'048;
-  size_t MaxQueuedBytes = 4 * 1024 * 1024; ///< Waiting on one connection.
+  size_t MaxQueuedBytes = 4'194'304; ///< Waiting on one connection.
   std::chrono::milliseconds ConnectTimeout{500};
   std::chrono::milliseconds IdleTime{20'000};
   /** A call does not go out on a connection that has been quiet for longer,
--- a/tests/peer_daemon_test.cpp
+++ b/tests/peer_daemon_test.cpp
@@ -180,6 +180,20 @@
   CHECK(Fleet.allAt(8));
 }
 
+// Guards against an outage of the platform that keeps replaced instances out.
+TEST_CASE("an instance that reaches only peers takes their revision",
+          "[daemon]") {
+  Peers Fleet(4);
+  Fleet.Stand.platform().publish(8, Peers::documents(8));
+  REQUIRE(Fleet.allReady());
+  REQUIRE(Fleet.allAt(8));
+  Fleet.Stand.platform().setFault(standin::PlatformFault::Down);
+  Fleet.restart(1);
+  CHECK(Fleet.Instances[1]->tier().State != daemon::Readiness::Ready);
+  CHECK(Fleet.allReady(15s));
+  CHECK(Fleet.allAt(8));
+}
+
 // Guards against work for a server that another instance knows to be leaving.
 TEST_CASE("a leaving server gets no new work from any instance", "[daemon]") {
   Peers Fleet(4);
@@ -283,12 +297,13 @@
     return Future.get();
   };
   using daemon::PeerCallError;
+  Issuer.setCallHandler(nullptr); // In place of the tickets' handler.
   CHECK(std::get<PeerCallError>(Ask(Issuer.process(), 2s)) ==
-        PeerCallError::NotSent); // No handler yet.
-  Issuer.setCallHandler(
-      [](std::string Payload, std::function<void(std::string)> Reply) {
-        Reply(Payload + " served");
-      });
+        PeerCallError::NotSent);
+  Issuer.setCallHandler([](const std::string &Payload,
+                           const std::function<void(std::string)> &Reply) {
+    Reply(Payload + " served");
+  });
   CHECK(std::get<std::string>(Ask(Issuer.process(), 2s)) == "payload served");
   base::Incarnation Older(Issuer.process().Value - 1);
   CHECK(std::get<PeerCallError>(Ask(Older, 2s)) == PeerCallError::NotSent);
