--- a/src/query/engine_events.cpp
+++ b/src/query/engine_events.cpp
@@ -43,7 +43,7 @@
   if (Attempt.SentAt < this->LastPause) {
     return; // The latency includes the pause of this process.
   }
-  routing::recordOutcome(Server, Ended, Latency);
+  routing::recordOutcome(Server, Ended, Latency, Now);
   if (Ended == Outcome::Success) {
     if (!Attempt.Hedge) {
       this->Latencies.record(Latency);
@@ -168,7 +168,7 @@
     routing::ServerState &Server = this->Servers.at(Attempt.Server);
     --Server.Outstanding;
     if (Attempt.SentAt >= this->LastPause) {
-      routing::recordCancelled(Server, Now - Attempt.SentAt);
+      routing::recordCancelled(Server, Now - Attempt.SentAt, Now);
     }
     Out.emplace_back(CancelAttempt{{Query.Id, SlotIndex, I, Query.Round},
                                    Attempt.Id,
@@ -228,7 +228,8 @@
   std::sort(InFlight.begin(), InFlight.end());
   InFlight.erase(std::unique(InFlight.begin(), InFlight.end()), InFlight.end());
   ++this->Counters.Crashes;
-  this->Suspects.recordCrash(Now, InFlight);
+  bool Isolated = this->Servers.at(Server).ReservedFor.has_value();
+  this->Suspects.recordCrash(Now, InFlight, Isolated);
   const routing::ServerState &State = this->Servers.at(Server);
   Out.emplace_back(PublishFact{FactKind::ServerCrashed,
                                State.Id,
--- a/src/query/quarantine.cpp
+++ b/src/query/quarantine.cpp
@@ -12,14 +12,13 @@
     : QuarantineTime(QuarantineTime) {}
 
 void Quarantine::recordCrash(TimePoint Now,
-                             std::span<const Fingerprint> InFlight) {
+                             std::span<const Fingerprint> InFlight,
+                             bool Isolated) {
   for (Fingerprint Request : InFlight) {
     State &Entry = this->Requests[Request];
     ++Entry.Crashes;
     Entry.LastCrash = Now;
-    // A request that shared the server with others is only a suspect, however
-    // often that happens: a busy innocent one must not be refused.
-    if (Entry.Crashes >= MaxCrashes && InFlight.size() == 1) {
+    if (Isolated && Entry.Crashes >= MaxCrashes) {
       Entry.QuarantinedUntil = Now + this->QuarantineTime;
     }
   }
--- a/src/query/quarantine_base.h
+++ b/src/query/quarantine_base.h
@@ -29,9 +29,12 @@
    * Records the crash of a server.
    * @param Now Current time.
    * @param InFlight Requests that were in flight on it.
+   * @param Isolated Whether the server was reserved for one suspect. Only then
+   *   the crash confirms a suspicion: servers that are lost together would
+   *   otherwise put innocent requests in quarantine.
    */
   void recordCrash(base::TimePoint Now,
-                   std::span<const base::Fingerprint> InFlight);
+                   std::span<const base::Fingerprint> InFlight, bool Isolated);
 
   /**
    * Records that a suspect ran on its own and the server survived.
--- a/src/routing/policy_type.h
+++ b/src/routing/policy_type.h
@@ -44,6 +44,9 @@
    * another one's cost; without a limit a local straggler got all the work. */
   double OwnDomainAdvantage = 1.2;
   double RampStart = 0.10; ///< Weight of a server that just appeared.
+  /** A server that is avoided is not observed; its latency fades towards the
+   * service's, so that a straggler that has recovered is tried again. */
+  base::Duration LatencyHalfLife = std::chrono::seconds(5);
   base::Duration ReportHalfLife = std::chrono::seconds(1);
   double ReportInfluence = 0.25; ///< Largest relative change of a cost.
   uint32_t EjectAfter = 5;       ///< Consecutive failures.
--- a/src/routing/server_func.cpp
+++ b/src/routing/server_func.cpp
@@ -70,7 +70,8 @@
 
 } // namespace
 
-void recordOutcome(ServerState &Server, Outcome Ended, Duration Latency) {
+void recordOutcome(ServerState &Server, Outcome Ended, Duration Latency,
+                   TimePoint Now) {
   bool Success = Ended == Outcome::Success;
   Server.SuccessRate +=
       Smoothing * ((Success ? 1.0 : 0.0) - Server.SuccessRate);
@@ -81,6 +82,7 @@
   }
   Server.ConsecutiveFailures = 0;
   Server.Ejections = 0;
+  Server.ObservedAt = Now;
   double Observed = base::toMilliseconds(Latency);
   if (Server.Latency == 0) {
     Server.Latency = Observed;
@@ -89,7 +91,8 @@
   }
 }
 
-void recordCancelled(ServerState &Server, Duration Waited) {
+void recordCancelled(ServerState &Server, Duration Waited, TimePoint Now) {
+  Server.ObservedAt = Now;
   Server.Latency += Smoothing * base::toMilliseconds(Waited);
 }
 
@@ -138,7 +141,12 @@
 
 double expectedCost(const ServerState &Server, const Policy &Rules,
                     double TypicalLatency, TimePoint Now) {
-  double Latency = Server.Latency > 0 ? Server.Latency : TypicalLatency;
+  double Latency = TypicalLatency;
+  if (Server.Latency > 0) {
+    double Age = base::toMilliseconds(Now - Server.ObservedAt) /
+                 base::toMilliseconds(Rules.LatencyHalfLife);
+    Latency += (Server.Latency - TypicalLatency) * std::exp2(-Age);
+  }
   double Success = std::max(Server.SuccessRate, 0.05);
   if (Success < 1) {
     // A server that fails fast must not look fast.
--- a/src/routing/server_func.h
+++ b/src/routing/server_func.h
@@ -20,8 +20,10 @@
  * @param Server The server.
  * @param Ended How the attempt ended.
  * @param Latency Time from send to reply; only used for successes.
+ * @param Now Current time.
  */
-void recordOutcome(ServerState &Server, Outcome Ended, base::Duration Latency);
+void recordOutcome(ServerState &Server, Outcome Ended, base::Duration Latency,
+                   base::TimePoint Now);
 
 /**
  * Records that an attempt was cancelled after a wait. The wait adds to the
@@ -30,8 +32,10 @@
  * than the hedge delay for a straggler whose attempts are all cancelled.
  * @param Server The server.
  * @param Waited Time from send to cancellation.
+ * @param Now Current time.
  */
-void recordCancelled(ServerState &Server, base::Duration Waited);
+void recordCancelled(ServerState &Server, base::Duration Waited,
+                     base::TimePoint Now);
 
 /**
  * Adapts the concurrency limit: up by one per limit successes without
--- a/src/routing/server_type.h
+++ b/src/routing/server_type.h
@@ -60,10 +60,11 @@
   base::FailureDomainId Domain;
   base::Incarnation Process;
   ServerPhase Phase = ServerPhase::Unknown;
-  uint32_t Outstanding = 0; ///< Attempts sent and not settled.
-  double Latency = 0;       ///< Smoothed milliseconds; 0: none observed.
-  double SuccessRate = 1;   ///< Smoothed share of attempts that succeeded.
-  double Limit = 3;         ///< Concurrency limit.
+  uint32_t Outstanding = 0;   ///< Attempts sent and not settled.
+  double Latency = 0;         ///< Smoothed milliseconds; 0: none observed.
+  base::TimePoint ObservedAt; ///< When Latency was last updated.
+  double SuccessRate = 1;     ///< Smoothed share of attempts that succeeded.
+  double Limit = 3;           ///< Concurrency limit.
   uint32_t ConsecutiveFailures = 0;
   uint32_t Ejections = 0; ///< In a row, for the back-off.
   base::TimePoint EjectedUntil;
