--- a/src/net/peer_codec_func.cpp
+++ b/src/net/peer_codec_func.cpp
@@ -112,10 +112,16 @@
   return Member;
 }
 
+/** Tells whether a fact is about a request, not about a server. */
+bool concernsRequest(query::FactKind Kind) {
+  return Kind == query::FactKind::Quarantined ||
+         Kind == query::FactKind::Suspected;
+}
+
 gen::Fact writeFact(const query::PublishFact &Source) {
   gen::Fact Wire;
   Wire.kind = static_cast<int32_t>(Source.Kind);
-  if (Source.Kind == query::FactKind::Quarantined) {
+  if (concernsRequest(Source.Kind)) {
     Wire.__set_fingerprint(toWire(Source.Request.Value));
   } else {
     Wire.__set_server(Source.Server.Value);
@@ -136,12 +142,12 @@
   std::vector<query::PublishFact> Facts;
   for (const gen::Fact &Entry : Wire) {
     if (Entry.kind < 0 ||
-        Entry.kind > static_cast<int32_t>(query::FactKind::Quarantined)) {
+        Entry.kind > static_cast<int32_t>(query::FactKind::Suspected)) {
       continue;
     }
     query::PublishFact Fact;
     Fact.Kind = static_cast<query::FactKind>(Entry.kind);
-    if (Fact.Kind == query::FactKind::Quarantined) {
+    if (concernsRequest(Fact.Kind)) {
       Fact.Request = base::Fingerprint(fromWire(Entry.fingerprint));
     } else {
       Fact.Server = base::ServerId(readName(Entry.server));
--- a/src/query/action_type.h
+++ b/src/query/action_type.h
@@ -68,14 +68,19 @@
 };
 
 /** Kinds of facts that instances tell each other. */
-enum class FactKind { ServerLeaving, ServerCrashed, Quarantined };
+enum class FactKind {
+  ServerLeaving,
+  ServerCrashed,
+  Quarantined, ///< A request is refused.
+  Suspected,   ///< A request was in flight at a crash and must run alone.
+};
 
 /** Tell the other instances. */
 struct PublishFact {
   FactKind Kind = FactKind::ServerLeaving;
   base::ServerId Server;     ///< Of the first two kinds.
   base::Incarnation Process; ///< Of the first two kinds.
-  base::Fingerprint Request; ///< Of Quarantined.
+  base::Fingerprint Request; ///< Of the last two kinds.
   base::Duration Lifetime{}; ///< Time for which it holds.
 };
 
--- a/src/query/engine_base.h
+++ b/src/query/engine_base.h
@@ -217,6 +217,12 @@
     bool operator>(const Wake &Other) const { return this->When > Other.When; }
   };
 
+  /** Attempts that were reset on one server. */
+  struct ResetRecord {
+    std::vector<base::Fingerprint> Requests;
+    bool Isolated = false; ///< The server was reserved for one suspect.
+  };
+
   // Admission (engine_admission.cpp).
   std::optional<Refusal> judgeAdmission(base::TimePoint Now,
                                         const Request &Source,
@@ -297,7 +303,7 @@
   std::priority_queue<Wake, std::vector<Wake>, std::greater<>> Wakes;
   std::deque<base::QueryId> SuspectQueue;
   /** Requests whose attempts were reset, until a probe gives the cause. */
-  std::map<base::ServerIndex, std::vector<base::Fingerprint>> Resets;
+  std::map<base::ServerIndex, ResetRecord> Resets;
   base::TimePoint LastPause;
   base::TimePoint NextExpiry;
 };
--- a/src/query/engine_dispatch.cpp
+++ b/src/query/engine_dispatch.cpp
@@ -215,7 +215,9 @@
   std::optional<ServerIndex> Chosen;
   for (ServerIndex Index : Holders) {
     const routing::ServerState &Server = this->Servers.at(Index);
-    if (!routing::isUsable(Server, Now)) {
+    // A server whose resets are not explained yet may have crashed; its loss
+    // would be blamed on this suspect.
+    if (!routing::isUsable(Server, Now) || this->Resets.count(Index) != 0) {
       continue;
     }
     if (Server.ReservedFor == Query.Id) {
@@ -245,14 +247,14 @@
   size_t MostReplicas = 0;
   for (uint32_t I = 0; I < Query.Slots.size(); ++I) {
     const Slot &Target = Query.Slots[I];
-    if (Target.Phase == SlotPhase::InFlight) {
-      return std::nullopt; // It runs, or attempts from before still do.
+    // It runs, attempts from before the suspicion do, or the verdict on its
+    // last server is open.
+    bool Busy = Target.Phase == SlotPhase::InFlight ||
+                (Target.Phase == SlotPhase::Backoff && Target.RetryAt > Now);
+    if (Busy) {
+      return std::nullopt;
     }
-    // A slot in back-off waits for the verdict on its last server.
-    bool Pending =
-        Target.Phase == SlotPhase::Held ||
-        (Target.Phase == SlotPhase::Backoff && Target.RetryAt <= Now);
-    if (!Pending) {
+    if (Target.Phase != SlotPhase::Held && Target.Phase != SlotPhase::Backoff) {
       continue;
     }
     const auto &Holders = Version->second.Holders[Target.Shard.Value];
--- a/src/query/engine_events.cpp
+++ b/src/query/engine_events.cpp
@@ -13,6 +13,8 @@
 
 /** Pause after shedding when the server does not say how long. */
 constexpr std::chrono::milliseconds DefaultShedTime(50);
+/** Time for which a suspicion travels between instances. */
+constexpr std::chrono::seconds SuspicionLifetime(10);
 /** Longest pause that a server may ask for. */
 constexpr std::chrono::milliseconds MaxShedTime(5'000);
 
@@ -223,12 +225,12 @@
   if (Found == this->Resets.end()) {
     return;
   }
-  std::vector<base::Fingerprint> InFlight = std::move(Found->second);
+  bool Isolated = Found->second.Isolated;
+  std::vector<base::Fingerprint> InFlight = std::move(Found->second.Requests);
   this->Resets.erase(Found);
   std::sort(InFlight.begin(), InFlight.end());
   InFlight.erase(std::unique(InFlight.begin(), InFlight.end()), InFlight.end());
   ++this->Counters.Crashes;
-  bool Isolated = this->Servers.at(Server).ReservedFor.has_value();
   this->Suspects.recordCrash(Now, InFlight, Isolated);
   const routing::ServerState &State = this->Servers.at(Server);
   Out.emplace_back(PublishFact{FactKind::ServerCrashed,
@@ -243,6 +245,9 @@
                                    {},
                                    Request,
                                    this->Options.Rules.QuarantineTime});
+    } else {
+      Out.emplace_back(
+          PublishFact{FactKind::Suspected, {}, {}, Request, SuspicionLifetime});
     }
   }
   if (!this->Options.Rules.IsolateSuspects) {
@@ -277,6 +282,9 @@
       Out.emplace_back(ProbeServer{*Index, this->Servers.at(*Index).Address});
     }
     break;
+  case FactKind::Suspected:
+    this->Suspects.suspect(Now, Fact.Request);
+    break;
   case FactKind::Quarantined:
     this->Suspects.quarantine(Now + Fact.Lifetime, Fact.Request);
     break;
--- a/src/query/engine_failure.cpp
+++ b/src/query/engine_failure.cpp
@@ -72,7 +72,9 @@
     this->Servers.markDown(Now, From);
   }
   if (Kind == FailureKind::Reset && BytesSent) {
-    this->Resets[From].push_back(Query->Source->Parameters.Content);
+    ResetRecord &Record = this->Resets[From];
+    Record.Requests.push_back(Query->Source->Parameters.Content);
+    Record.Isolated = this->Servers.at(From).ReservedFor == Query->Id;
     Out.emplace_back(ProbeServer{From, this->Servers.at(From).Address});
   }
   bool MayRetry = Query->Source->Template->Idempotent ||
--- a/src/query/quarantine.cpp
+++ b/src/query/quarantine.cpp
@@ -1,5 +1,6 @@
 #include "query/quarantine_base.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -24,6 +25,12 @@
   }
 }
 
+void Quarantine::suspect(TimePoint Now, Fingerprint Request) {
+  State &Entry = this->Requests[Request];
+  Entry.Crashes = std::max(Entry.Crashes, 1U);
+  Entry.LastCrash = Now;
+}
+
 void Quarantine::clear(Fingerprint Request) { this->Requests.erase(Request); }
 
 void Quarantine::quarantine(TimePoint Until, Fingerprint Request) {
--- a/src/query/quarantine_base.h
+++ b/src/query/quarantine_base.h
@@ -36,6 +36,13 @@
   void recordCrash(base::TimePoint Now,
                    std::span<const base::Fingerprint> InFlight, bool Isolated);
 
+  /**
+   * Makes a request a suspect that another instance saw at a crash.
+   * @param Now Current time.
+   * @param Request The request.
+   */
+  void suspect(base::TimePoint Now, base::Fingerprint Request);
+
   /**
    * Records that a suspect ran on its own and the server survived.
    * @param Request The request.
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -447,3 +447,64 @@
   REQUIRE(Next.size() >= 1);
   CHECK(Next[0].Ref.Query == Lookup);
 }
+
+// Guards against a crashing request that is sent again through an instance
+// that has not seen the first crash.
+TEST_CASE("a suspect of another instance runs alone", "[engine]") {
+  EngineHarness First;
+  First.addServers(3, 4, {1});
+  First.submit(First.request("poison"));
+  auto Sent = First.take<query::SendAttempt>();
+  First.fail(Sent[0], query::FailureKind::Reset, true);
+  First.Engine.onProbeFailed(First.Now, Sent[0].Server, First.Out);
+  auto Facts = First.take<query::PublishFact>();
+  EngineHarness Second;
+  Second.addServers(3, 4, {1});
+  for (const auto &Fact : Facts) {
+    Second.Engine.onFact(Second.Now, Fact, Second.Out);
+  }
+  Second.submit(Second.request("poison"));
+  CHECK(Second.take<query::SendAttempt>().size() == 1);
+}
+
+// Guards against a ten-minute refusal of requests that were in flight when
+// several servers were lost together.
+TEST_CASE("servers lost together quarantine no request", "[engine]") {
+  EngineHarness Test;
+  Test.addServers(3, 2, {1});
+  Test.submit(Test.request("innocent"));
+  auto Sent = Test.take<query::SendAttempt>();
+  REQUIRE(Sent.size() == 2);
+  REQUIRE(Sent[0].Server != Sent[1].Server);
+  for (const auto &Attempt : Sent) {
+    Test.fail(Attempt, query::FailureKind::Reset, true);
+    Test.Engine.onProbeFailed(Test.Now, Attempt.Server, Test.Out);
+  }
+  for (int Round = 0; Round < 40; ++Round) {
+    Test.pass(5ms);
+    for (const auto &Attempt : Test.take<query::SendAttempt>()) {
+      Test.reply(Attempt);
+    }
+  }
+  auto Responses = Test.take<query::Respond>();
+  REQUIRE(Responses.size() == 1);
+  INFO((refusalOf(Responses[0]) == nullptr
+            ? ""
+            : toString(refusalOf(Responses[0])->Kind)));
+  CHECK(answerOf(Responses[0]) != nullptr);
+}
+
+// Guards against a straggler that has recovered staying unused for ever.
+TEST_CASE("an unobserved latency fades", "[engine]") {
+  routing::Policy Rules;
+  routing::ServerState Server;
+  base::TimePoint Now{std::chrono::hours(1)};
+  Server.Latency = 100;
+  Server.ObservedAt = Now;
+  Server.RampFrom = Now - std::chrono::minutes(1);
+  double Fresh = routing::expectedCost(Server, Rules, 5, Now);
+  double Later =
+      routing::expectedCost(Server, Rules, 5, Now + Rules.LatencyHalfLife * 10);
+  CHECK(Fresh > 15 * 5);
+  CHECK(Later < 1.1 * 5);
+}
