Prefer an index version that two replicas of each shard hold

Cause: the newest version was taken as soon as one replica of each needed shard held it, so all requests for a shard went to one server while a version was rolled out; beside a straggler that server was often the slow one.

--- a/src/routing/selection_func.cpp
+++ b/src/routing/selection_func.cpp
@@ -30,30 +30,42 @@
   }
 };
 
+/** Replicas of a shard that make a version safe to prefer. */
+constexpr size_t PreferredReplicas = 2;
+
+/** How well the servers can serve the needed shards of one version. */
+struct Reach {
+  size_t Reachable = 0; ///< Shards with at least one usable replica.
+  size_t Preferred = 0; ///< Shards with at least PreferredReplicas.
+};
+
 /**
- * Counts the needed shards that some usable server holds.
+ * Counts the needed shards that usable servers hold.
  * @param Servers Directory.
  * @param State Version to look at.
  * @param Needed Needed shards.
  * @param Now Current time.
- * @return Number of shards.
+ * @return Numbers of shards.
  */
-size_t countReachable(const Directory &Servers, const VersionState &State,
-                      const std::vector<ShardIndex> &Needed, TimePoint Now) {
-  size_t Reachable = 0;
+Reach measureReach(const Directory &Servers, const VersionState &State,
+                   const std::vector<ShardIndex> &Needed, TimePoint Now) {
+  Reach Measured;
   for (ShardIndex Shard : Needed) {
-    const auto &Holders = State.Holders[Shard.Value];
-    // A server that sheds is still reachable: it will serve soon.
-    Reachable += std::any_of(Holders.begin(), Holders.end(),
-                             [&](ServerIndex Index) {
-                               const ServerState &Server = Servers.at(Index);
-                               return Server.Phase == ServerPhase::Live &&
-                                      Now >= Server.EjectedUntil;
-                             })
-                     ? 1
-                     : 0;
+    size_t Usable = 0;
+    for (ServerIndex Index : State.Holders[Shard.Value]) {
+      const ServerState &Server = Servers.at(Index);
+      // A server that sheds is still reachable: it will serve soon.
+      Usable += Server.Phase == ServerPhase::Live && Now >= Server.EjectedUntil
+                    ? 1
+                    : 0;
+      if (Usable >= PreferredReplicas) {
+        break;
+      }
+    }
+    Measured.Reachable += Usable >= 1 ? 1 : 0;
+    Measured.Preferred += Usable >= PreferredReplicas ? 1 : 0;
   }
-  return Reachable;
+  return Measured;
 }
 
 /**
@@ -130,16 +142,18 @@
     if (Candidate.Needed.empty()) {
       continue;
     }
-    Candidate.Reachable =
-        countReachable(Servers, It->second, Candidate.Needed, Now);
-    bool Complete = Candidate.Reachable == Candidate.Needed.size();
+    Reach Measured = measureReach(Servers, It->second, Candidate.Needed, Now);
+    Candidate.Reachable = Measured.Reachable;
     double Coverage = static_cast<double>(Candidate.Reachable) /
                       static_cast<double>(Candidate.Needed.size());
-    if (Coverage > BestCoverage) {
+    // A version that has only reached one replica of a shard would draw all
+    // requests for that shard to one server.
+    bool Preferred = Measured.Preferred == Candidate.Needed.size();
+    if (Coverage > BestCoverage || (Preferred && Coverage >= BestCoverage)) {
       BestCoverage = Coverage;
       Best = std::move(Candidate);
     }
-    if (Complete || Rule == config::SnapshotRule::Newest) {
+    if (Preferred || Rule == config::SnapshotRule::Newest) {
       break;
     }
   }
--- a/src/routing/selection_func.h
+++ b/src/routing/selection_func.h
@@ -40,9 +40,10 @@
                                             const Layout &Shards);
 
 /**
- * Chooses the index version of a query. Complete: the newest one that every
- * needed shard can serve; if there is none, the one with the best coverage,
- * the newest of several.
+ * Chooses the index version of a query. Complete: the newest one of which
+ * every needed shard has two usable replicas; if there is none, the newest one
+ * with a replica of each; if there is none, the one with the best coverage, the
+ * newest of several.
  * @param Servers Directory of the service.
  * @param Wanted The query's selection.
  * @param Rule Rule of the template.
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -508,3 +508,27 @@
   CHECK(Fresh > 15 * 5);
   CHECK(Later < 1.1 * 5);
 }
+
+// Guards against a new version drawing all requests to its first replica.
+TEST_CASE("a version is preferred once two replicas hold it", "[engine]") {
+  EngineHarness Test;
+  Test.addServers(3, 2, {1});
+  auto VersionOf = [&](const std::string &Content) {
+    Test.submit(Test.request(Content));
+    auto Sent = Test.take<query::SendAttempt>();
+    REQUIRE(Sent.size() == 2);
+    for (const auto &Attempt : Sent) {
+      Test.reply(Attempt);
+    }
+    return Sent[0].Version.Value;
+  };
+  Test.report(0, 2, {1, 2});
+  CHECK(VersionOf("first") == 1);
+  Test.report(1, 2, {1, 2});
+  CHECK(VersionOf("second") == 2);
+  // One replica is enough if no version has more.
+  Test.report(0, 2, {3});
+  Test.report(1, 2, {2});
+  Test.report(2, 2, {1});
+  CHECK(VersionOf("third") == 3);
+}
--- a/tests/replay_test.cpp
+++ b/tests/replay_test.cpp
@@ -84,10 +84,10 @@
   for (const char *Name :
        {"straggler-30", "straggler-450", "all-shed", "all-fail",
         "silent-generation", "version-churn", "crashing-request",
-        "crashing-request-narrow", "reports-stale", "reports-inverted",
-        "failing-server", "pair-straggler-churn", "pair-third-lost-silence",
-        "pair-shed-crashing", "pair-pause-drain", "pair-fail-pause",
-        "pair-restart-stale"}) {
+        "crashing-request-new-content", "crashing-request-narrow",
+        "reports-stale", "reports-inverted", "failing-server",
+        "pair-straggler-churn", "pair-third-lost-silence", "pair-shed-crashing",
+        "pair-pause-drain", "pair-fail-pause", "pair-restart-stale"}) {
     checkTrace(Name);
   }
 }
