--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -4,18 +4,16 @@
 #include "daemon/instance_base.h"
 #include "daemon/log_func.h"
 #include "standin/deployment_base.h"
+#include "standin/runner_base.h"
 
 #include <algorithm>
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
-#include <ctime>
 #include <functional>
 #include <glog/logging.h>
 #include <iostream>
 #include <memory>
 #include <mutex>
-#include <pthread.h>
 #include <string>
 #include <thread>
 #include <vector>
@@ -34,51 +32,6 @@
 constexpr int Publications = 5;
 constexpr double LossShare = 0.05;
 
-/** Threads of an io_context whose CPU time can be read. */
-class Workers {
-public:
-  Workers() : Guard(Context.get_executor()) {
-    for (size_t I = 0; I < ThreadCount; ++I) {
-      this->Threads.emplace_back([this] { this->Context.run(); });
-    }
-  }
-  ~Workers() { this->join(); }
-  Workers(const Workers &) = delete;
-  Workers &operator=(const Workers &) = delete;
-
-  /** Ends the threads. */
-  void join() {
-    this->Guard.reset();
-    this->Context.stop();
-    for (std::thread &Thread : this->Threads) {
-      Thread.join();
-    }
-    this->Threads.clear();
-  }
-
-  /** @return CPU time of all threads so far, in seconds. */
-  double cpuSeconds() {
-    double Total = 0;
-    for (std::thread &Thread : this->Threads) {
-      clockid_t Source{};
-      timespec Spent{};
-      if (pthread_getcpuclockid(Thread.native_handle(), &Source) == 0 &&
-          clock_gettime(Source, &Spent) == 0) {
-        Total += static_cast<double>(Spent.tv_sec) +
-                 static_cast<double>(Spent.tv_nsec) * 1e-9;
-      }
-    }
-    return Total;
-  }
-
-  boost::asio::io_context Context;
-
-private:
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
-      Guard;
-  std::vector<std::thread> Threads;
-};
-
 /** Loses frames at random, once switched on. */
 struct Loss {
   std::mutex Mutex;
@@ -219,8 +172,9 @@
     });
   }
 
-  Workers Outside; ///< Runs the platform, whose CPU time is not counted.
-  Workers Inside;
+  standin::Runner Outside{
+      ThreadCount}; ///< Runs the platform, whose CPU time is not counted.
+  standin::Runner Inside{ThreadCount};
   Loss Lossy;
   standin::Deployment Stand;
   std::map<std::string, std::string> Documents;
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -444,7 +444,7 @@
       "lookup"));
   Test.reply(Running[0]);
   auto Next = Test.take<query::SendAttempt>();
-  REQUIRE(Next.size() >= 1);
+  REQUIRE_FALSE(Next.empty());
   CHECK(Next[0].Ref.Query == Lookup);
 }
 
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -6,6 +6,7 @@
 #include "net/http_pool_base.h"
 #include "standin/deployment_base.h"
 #include "standin/load_generator_base.h"
+#include "standin/runner_base.h"
 
 #include <array>
 #include <boost/asio/executor_work_guard.hpp>
@@ -28,35 +29,7 @@
 
 namespace hickorycrank::tests {
 
-/** Runs an io_context on some threads until it is destroyed. */
-class Runner {
-public:
-  explicit Runner(size_t Count) : Guard(Context.get_executor()) {
-    for (size_t I = 0; I < Count; ++I) {
-      this->Threads.emplace_back([this] { this->Context.run(); });
-    }
-  }
-  ~Runner() { this->join(); }
-  Runner(const Runner &) = delete;
-  Runner &operator=(const Runner &) = delete;
-
-  /** Stops the threads; objects on the context may be destroyed after it. */
-  void join() {
-    this->Guard.reset();
-    this->Context.stop();
-    for (std::thread &Thread : this->Threads) {
-      Thread.join();
-    }
-    this->Threads.clear();
-  }
-
-  boost::asio::io_context Context;
-
-private:
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
-      Guard;
-  std::vector<std::thread> Threads;
-};
+using standin::Runner;
 
 /** A caller's view of one response. */
 struct CallerResponse {
