--- /dev/null
+++ b/tests/engine_crash_test.cpp
@@ -0,0 +1,144 @@
+// Rules of query::Engine about requests that crash backend servers.
+#include "engine_harness.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hickorycrank;
+using namespace hickorycrank::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+const query::Answer *answerOf(const query::Respond &Order) {
+  return std::get_if<query::Answer>(&Order.Result);
+}
+
+const query::Refusal *refusalOf(const query::Respond &Order) {
+  return std::get_if<query::Refusal>(&Order.Result);
+}
+
+} // namespace
+
+// Guards against a crashing request taking down one server after another.
+TEST_CASE("a crashing request is refused after two crashes", "[engine]") {
+  EngineHarness Test;
+  Test.addServers(3, 1, {1});
+  size_t Crashes = 0;
+  for (int I = 0; I < 20; ++I) {
+    Test.submit(Test.request("poison"));
+    for (int Round = 0; Round < 60; ++Round) {
+      Test.pass(5ms);
+      for (const auto &Attempt : Test.take<query::SendAttempt>()) {
+        ++Crashes;
+        Test.fail(Attempt, query::FailureKind::Reset, true);
+        Test.Engine.onProbeFailed(Test.Now, Attempt.Server, Test.Out);
+      }
+    }
+  }
+  CHECK(Crashes == 2);
+  // Another request still runs on the server that is left.
+  Test.submit(Test.request("innocent"));
+  REQUIRE(Test.take<query::SendAttempt>().size() == 1);
+}
+
+// Guards against innocent requests being refused for a shared crash.
+TEST_CASE("an innocent suspect is cleared by running alone", "[engine]") {
+  EngineHarness Test;
+  Test.addServers(3, 1, {1});
+  Test.submit(Test.request("guilty"));
+  Test.submit(Test.request("innocent"));
+  auto Sent = Test.take<query::SendAttempt>();
+  REQUIRE(Sent.size() == 2);
+  // Both were in flight on the server of the first one.
+  Test.fail(Sent[0], query::FailureKind::Reset, true);
+  Test.fail(Sent[1], query::FailureKind::Reset, true);
+  Test.Engine.onProbeFailed(Test.Now, Sent[0].Server, Test.Out);
+  if (Sent[1].Server != Sent[0].Server) {
+    Test.Engine.onProbeFailed(Test.Now, Sent[1].Server, Test.Out);
+  }
+  size_t Live = 0;
+  for (int Round = 0; Round < 40; ++Round) {
+    Test.pass(5ms);
+    auto More = Test.take<query::SendAttempt>();
+    // Suspects run one at a time.
+    CHECK(More.size() <= 1);
+    for (const auto &Attempt : More) {
+      ++Live;
+      Test.reply(Attempt);
+    }
+  }
+  CHECK(Live == 2);
+  auto Responses = Test.take<query::Respond>();
+  REQUIRE(Responses.size() == 2);
+  CHECK(answerOf(Responses[0]) != nullptr);
+  CHECK(answerOf(Responses[1]) != nullptr);
+}
+
+// Guards against 450 servers running a request that may crash each of them.
+TEST_CASE("a wide query of a new shape goes to one shard first", "[engine]") {
+  EngineHarness Test;
+  Test.addServers(3, 8, {1});
+  Test.submit(Test.request());
+  auto Sent = Test.take<query::SendAttempt>();
+  REQUIRE(Sent.size() == 1);
+  Test.reply(Sent[0]);
+  CHECK(Test.take<query::SendAttempt>().size() == 7);
+}
+
+// Guards against the rest of a wide query being sent after its deadline.
+TEST_CASE("a canary's late success releases nothing", "[engine]") {
+  EngineHarness Test;
+  Test.addServers(3, 8, {1});
+  Test.submit(Test.request());
+  auto Sent = Test.take<query::SendAttempt>();
+  REQUIRE(Sent.size() == 1);
+  Test.Now += 2s;
+  Test.reply(Sent[0]);
+  CHECK(Test.take<query::SendAttempt>().empty());
+}
+
+// Guards against a crashing request that is sent again through an instance
+// that has not seen the first crash.
+TEST_CASE("a suspect of another instance runs alone", "[engine]") {
+  EngineHarness First;
+  First.addServers(3, 4, {1});
+  First.submit(First.request("poison"));
+  auto Sent = First.take<query::SendAttempt>();
+  First.fail(Sent[0], query::FailureKind::Reset, true);
+  First.Engine.onProbeFailed(First.Now, Sent[0].Server, First.Out);
+  auto Facts = First.take<query::PublishFact>();
+  EngineHarness Second;
+  Second.addServers(3, 4, {1});
+  for (const auto &Fact : Facts) {
+    Second.Engine.onFact(Second.Now, Fact, Second.Out);
+  }
+  Second.submit(Second.request("poison"));
+  CHECK(Second.take<query::SendAttempt>().size() == 1);
+}
+
+// Guards against a ten-minute refusal of requests that were in flight when
+// several servers were lost together.
+TEST_CASE("servers lost together quarantine no request", "[engine]") {
+  EngineHarness Test;
+  Test.addServers(3, 2, {1});
+  Test.submit(Test.request("innocent"));
+  auto Sent = Test.take<query::SendAttempt>();
+  REQUIRE(Sent.size() == 2);
+  REQUIRE(Sent[0].Server != Sent[1].Server);
+  for (const auto &Attempt : Sent) {
+    Test.fail(Attempt, query::FailureKind::Reset, true);
+    Test.Engine.onProbeFailed(Test.Now, Attempt.Server, Test.Out);
+  }
+  for (int Round = 0; Round < 40; ++Round) {
+    Test.pass(5ms);
+    for (const auto &Attempt : Test.take<query::SendAttempt>()) {
+      Test.reply(Attempt);
+    }
+  }
+  auto Responses = Test.take<query::Respond>();
+  REQUIRE(Responses.size() == 1);
+  INFO((refusalOf(Responses[0]) == nullptr
+            ? ""
+            : toString(refusalOf(Responses[0])->Kind)));
+  CHECK(answerOf(Responses[0]) != nullptr);
+}
