--- a/tests/engine_crash_test.cpp
+++ b/tests/engine_crash_test.cpp
@@ -7,18 +7,6 @@
 using namespace hickorycrank::tests;
 using namespace std::chrono_literals;
 
-namespace {
-
-const query::Answer *answerOf(const query::Respond &Order) {
-  return std::get_if<query::Answer>(&Order.Result);
-}
-
-const query::Refusal *refusalOf(const query::Respond &Order) {
-  return std::get_if<query::Refusal>(&Order.Result);
-}
-
-} // namespace
-
 // Guards against a crashing request taking down one server after another.
 TEST_CASE("a crashing request is refused after two crashes", "[engine]") {
   EngineHarness Test;
--- a/tests/engine_harness.h
+++ b/tests/engine_harness.h
@@ -12,6 +12,16 @@
 
 namespace hickorycrank::tests {
 
+/** @return The answer of a response, or nullptr. */
+inline const query::Answer *answerOf(const query::Respond &Order) {
+  return std::get_if<query::Answer>(&Order.Result);
+}
+
+/** @return The refusal of a response, or nullptr. */
+inline const query::Refusal *refusalOf(const query::Respond &Order) {
+  return std::get_if<query::Refusal>(&Order.Result);
+}
+
 /** Drives an engine by hand on virtual time and records its actions. */
 class EngineHarness {
 public:
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -10,18 +10,6 @@
 using query::RefusalKind;
 using query::ReplyStatus;
 
-namespace {
-
-const query::Answer *answerOf(const query::Respond &Order) {
-  return std::get_if<query::Answer>(&Order.Result);
-}
-
-const query::Refusal *refusalOf(const query::Respond &Order) {
-  return std::get_if<query::Refusal>(&Order.Result);
-}
-
-} // namespace
-
 // Guards against merging replies of two index versions.
 TEST_CASE("a query keeps the version that it pinned", "[engine]") {
   EngineHarness Test;
