Leave unchanged index versions out of reports; change the version index by server

Cause: each instance asks each backend server for a report once a second, and each report carried the whole layout, so that control work grew with the square of the servers and passed 1.3% of a core at 59 of them. At the start each first report rebuilt the whole index of versions. Now a report names a digest of its versions, the request names the digest that the instance knows, and unchanged versions are left out; a reply's report with that digest saves the question. The index is changed by one server's part. A digest counts for one incarnation and ends when a version is dropped. A backend server without digests works as before. Ruled out: a shared cache of decoded layouts, which saves no bytes. The property test fails if a server that is listed again keeps its old part, and the digest test if a new process does not ask for versions (both tried). A cancellation no longer searches all links for its control connection.

--- a/src/daemon/service_shard.cpp
+++ b/src/daemon/service_shard.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest_func.h"
 #include "config/settings_func.h"
+#include "net/url_func.h"
 
 #include <boost/asio/post.hpp>
 #include <utility>
@@ -18,6 +19,9 @@
 
 constexpr std::chrono::milliseconds ProbeTimeout(1'000);
 constexpr std::chrono::milliseconds CancelTimeout(500);
+/** Shorter than the period of the reports, so that each period either has a
+ * report with a reply or asks for one. */
+constexpr std::chrono::milliseconds ReportFreshness(900);
 /** Part of the attempt's time that is kept for the way back. */
 constexpr std::chrono::milliseconds ReturnTime(2);
 constexpr uint32_t ControlConnections = 1;
@@ -103,8 +107,11 @@
     std::lock_guard Lock(this->Mutex);
     query::Actions Decided;
     const auto &Servers = this->Engine.directory().servers();
+    base::TimePoint Now = Clock::now();
     for (uint32_t I = this->ReportStep; I < Servers.size(); I += ReportSteps) {
-      if (Servers[I].Phase != routing::ServerPhase::Gone) {
+      // Replies carry reports too, so a busy server need not be asked.
+      bool IsFresh = Servers[I].ConfirmedAt + ReportFreshness > Now;
+      if (Servers[I].Phase != routing::ServerPhase::Gone && !IsFresh) {
         Decided.emplace_back(
             query::ProbeServer{base::ServerIndex(I), Servers[I].Address});
       }
@@ -235,7 +242,8 @@
       net::encodeSearch(Attempt, Deadline - Clock::now() - ReturnTime);
   Request.ExpectInReply = base::toString(Attempt.Id);
   std::lock_guard Lock(this->LinksMutex);
-  std::shared_ptr<net::HttpPool> Pool = this->link(Attempt.Address).Work;
+  const ServerLink &Target = this->link(Attempt.Address);
+  std::shared_ptr<net::HttpPool> Pool = Target.Work;
   auto Self = this->shared_from_this();
   // The callback is posted: the pool may call it before send() returns.
   net::ExchangeId Exchange = Pool->send(
@@ -249,12 +257,11 @@
               Self->onSearchDone(Ref, Id, OrderBy, std::move(Result));
             });
       });
-  this->Exchanges[Attempt.Id] = {std::move(Pool), Exchange};
+  this->Exchanges[Attempt.Id] = {std::move(Pool), Target.Control, Exchange};
 }
 
 void ServiceShard::perform(query::CancelAttempt &Attempt) {
   ExchangeRecord Record;
-  std::shared_ptr<net::HttpPool> Control;
   {
     std::lock_guard Lock(this->LinksMutex);
     auto Found = this->Exchanges.find(Attempt.Id);
@@ -263,23 +270,15 @@
     }
     Record = std::move(Found->second);
     this->Exchanges.erase(Found);
-    for (auto &[Address, Entry] : this->Links) {
-      if (Entry.Work == Record.Pool) {
-        Control = Entry.Control;
-      }
-    }
   }
   bool TimedOut = Attempt.Reason == query::CancelReason::TimedOut;
   Record.Pool->cancel(Record.Exchange, TimedOut);
-  if (!Control) {
-    return;
-  }
   net::HttpRequest Request;
   Request.Method = "POST";
   Request.Path = "/v1/cancel";
   Request.Body = R"({"attempt":")" + base::toString(Attempt.Id) + "\"}";
-  Control->send(std::move(Request), Clock::now() + CancelTimeout, false,
-                [](const net::ExchangeResult &) {});
+  Record.Control->send(std::move(Request), Clock::now() + CancelTimeout, false,
+                       [](const net::ExchangeResult &) {});
 }
 
 void ServiceShard::perform(query::CloseConnections &Order) {
@@ -288,6 +287,11 @@
 }
 
 void ServiceShard::perform(query::ProbeServer &Order) {
+  std::string Digest;
+  {
+    std::lock_guard Lock(this->Mutex);
+    Digest = this->Engine.directory().at(Order.Server).VersionsDigest;
+  }
   std::shared_ptr<net::HttpPool> Control;
   {
     std::lock_guard Lock(this->LinksMutex);
@@ -295,6 +299,9 @@
   }
   net::HttpRequest Request;
   Request.Path = "/v1/report";
+  if (!Digest.empty()) {
+    Request.Path += "?versions_digest=" + net::encodePercent(Digest);
+  }
   Control->send(std::move(Request), Clock::now() + ProbeTimeout, false,
                 [Self = this->shared_from_this(),
                  Server = Order.Server](net::ExchangeResult Result) mutable {
--- a/src/daemon/service_shard_base.h
+++ b/src/daemon/service_shard_base.h
@@ -112,6 +112,7 @@
   /** An exchange in progress, to be able to cancel it. */
   struct ExchangeRecord {
     std::shared_ptr<net::HttpPool> Pool;
+    std::shared_ptr<net::HttpPool> Control; ///< Of the same backend server.
     net::ExchangeId Exchange = 0;
   };
 
--- a/src/net/backend_codec_func.cpp
+++ b/src/net/backend_codec_func.cpp
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr size_t HexDigitsPerHalf = 16;
+/** A longer digest of versions is not kept: it would travel in each probe. */
+constexpr size_t MaxDigestSize = 128;
 /** Cuts larger values, which would wrap round to negative durations. */
 constexpr uint64_t LongestRetryAfterMs = 86'400'000;
 
@@ -205,6 +207,10 @@
   }
   Report.Slots =
       static_cast<uint32_t>(findUnsigned(Object, "slots").value_or(0));
+  Report.VersionsDigest = findText(Object, "versions_digest");
+  if (Report.VersionsDigest.size() > MaxDigestSize) {
+    Report.VersionsDigest.clear();
+  }
   const json::value *Versions = Object.if_contains("versions");
   if (Versions != nullptr && Versions->is_array()) {
     Report.HasVersions = true;
--- a/src/query/engine_events.cpp
+++ b/src/query/engine_events.cpp
@@ -200,6 +200,9 @@
     // The same process still answers, so the resets were the network's.
     this->Resets.erase(*Index);
   }
+  if (Change.NeedsVersions) {
+    Out.emplace_back(ProbeServer{*Index, this->Servers.at(*Index).Address});
+  }
   if (Change.NowLeaving) {
     Out.emplace_back(PublishFact{FactKind::ServerLeaving,
                                  Report.Server,
--- a/src/routing/directory.cpp
+++ b/src/routing/directory.cpp
@@ -30,6 +30,18 @@
   Server.EjectedUntil = {};
   Server.ShedUntil = {};
   Server.ConnectionSuspect = false;
+  Server.VersionsDigest.clear();
+}
+
+/**
+ * Compares two layouts.
+ * @param Left One layout.
+ * @param Right The other.
+ * @return Whether both have the same shards in the same order.
+ */
+bool isSameLayout(const std::shared_ptr<const Layout> &Left,
+                  const std::shared_ptr<const Layout> &Right) {
+  return Left == Right || Left->Shards == Right->Shards;
 }
 
 /**
@@ -109,17 +121,26 @@
   if (Report.Process < Server.Process) {
     return Change;
   }
+  // What a server holds that is not listed is not in the index of versions.
+  bool WasGone = Server.Phase == ServerPhase::Gone;
   if (Report.Process > Server.Process) {
     Change.NewIncarnation = Server.Phase != ServerPhase::Unknown;
     resetObservations(Server, Report.Process, this->InitialLimit);
+    Change.NeedsVersions = !Report.HasVersions;
   }
   Server.ReportedLoad = Report.Load;
   Server.ReportedAt = Now;
-  bool NewVersions =
-      Report.HasVersions && !holdsSame(Server.Versions, Report.Versions);
-  if (NewVersions) {
-    Server.Versions = Report.Versions;
-    this->shareLayouts(Server.Versions);
+  if (Report.HasVersions) {
+    if (WasGone) {
+      Server.Versions = Report.Versions;
+    } else if (!holdsSame(Server.Versions, Report.Versions)) {
+      this->replaceHoldings(*Found, Report.Versions);
+    }
+    Server.VersionsDigest = Report.VersionsDigest;
+    Server.ConfirmedAt = Now;
+  } else if (!Report.VersionsDigest.empty() &&
+             Report.VersionsDigest == Server.VersionsDigest) {
+    Server.ConfirmedAt = Now;
   }
   if (Report.Leaving) {
     Change.NowLeaving = Server.Phase != ServerPhase::Leaving;
@@ -130,7 +151,7 @@
     Server.RampFrom = Now;
     Change.Appeared = true;
   }
-  if (NewVersions || Change.Appeared || Change.NowLeaving) {
+  if (WasGone) {
     this->rebuildVersions();
   }
   return Change;
@@ -146,10 +167,14 @@
   if (Process < State.Process || State.Phase == ServerPhase::Leaving) {
     return false;
   }
+  bool WasGone = State.Phase == ServerPhase::Gone;
   if (Process > State.Process) {
     resetObservations(State, Process, this->InitialLimit);
   }
   State.Phase = ServerPhase::Leaving;
+  if (WasGone) {
+    this->rebuildVersions();
+  }
   return true;
 }
 
@@ -164,12 +189,13 @@
 }
 
 void Directory::dropVersion(ServerIndex Index, base::VersionId Version) {
-  std::vector<VersionReport> &Held = this->at(Index).Versions;
-  auto Matches = [Version](const VersionReport &Entry) {
+  std::vector<VersionReport> Held = this->at(Index).Versions;
+  std::erase_if(Held, [Version](const VersionReport &Entry) {
     return Entry.Shards->Version == Version;
-  };
-  Held.erase(std::remove_if(Held.begin(), Held.end(), Matches), Held.end());
-  this->rebuildVersions();
+  });
+  this->replaceHoldings(Index, std::move(Held));
+  // The digest covers the dropped version, so the next report must be whole.
+  this->at(Index).VersionsDigest.clear();
 }
 
 std::optional<ServerIndex> Directory::find(const base::ServerId &Server) const {
@@ -193,28 +219,74 @@
 void Directory::rebuildVersions() {
   this->Versions.clear();
   for (uint32_t I = 0; I < this->Servers.size(); ++I) {
-    const ServerState &Server = this->Servers[I];
-    if (Server.Phase == ServerPhase::Gone) {
-      continue;
+    this->addHoldings(ServerIndex(I));
+  }
+}
+
+void Directory::addHoldings(ServerIndex Index) {
+  const ServerState &Server = this->at(Index);
+  if (Server.Phase == ServerPhase::Gone) {
+    return;
+  }
+  for (const VersionReport &Entry : Server.Versions) {
+    VersionState &State = this->Versions[Entry.Shards->Version];
+    if (!State.Shards) {
+      State.Shards = Entry.Shards;
+      State.Holders.resize(Entry.Shards->Shards.size());
     }
-    for (const VersionReport &Entry : Server.Versions) {
-      VersionState &State = this->Versions[Entry.Shards->Version];
-      if (!State.Shards) {
-        State.Shards = Entry.Shards;
-        State.Holders.resize(Entry.Shards->Shards.size());
-      }
-      bool SameLayout = State.Shards == Entry.Shards ||
-                        State.Shards->Shards == Entry.Shards->Shards;
-      if (!SameLayout) {
-        continue; // Merging different layouts would count wrong shards.
+    if (!isSameLayout(State.Shards, Entry.Shards)) {
+      State.HasOtherLayouts = true;
+      continue; // Merging different layouts would count wrong shards.
+    }
+    ++State.Reporters;
+    for (base::ShardIndex Shard : Entry.Holds) {
+      if (Shard.Value < State.Holders.size()) {
+        // In the order of positions, so that the draw of a replica does not
+        // depend on which server reported first.
+        std::vector<ServerIndex> &Holders = State.Holders[Shard.Value];
+        Holders.insert(std::upper_bound(Holders.begin(), Holders.end(), Index),
+                       Index);
       }
-      for (base::ShardIndex Shard : Entry.Holds) {
-        if (Shard.Value < State.Holders.size()) {
-          State.Holders[Shard.Value].push_back(ServerIndex(I));
-        }
+    }
+  }
+}
+
+bool Directory::removeHoldings(ServerIndex Index) {
+  const ServerState &Server = this->at(Index);
+  bool NeedsRebuild = false;
+  if (Server.Phase == ServerPhase::Gone) {
+    return NeedsRebuild;
+  }
+  for (const VersionReport &Entry : Server.Versions) {
+    auto Found = this->Versions.find(Entry.Shards->Version);
+    if (Found == this->Versions.end() ||
+        !isSameLayout(Found->second.Shards, Entry.Shards)) {
+      continue;
+    }
+    VersionState &State = Found->second;
+    for (base::ShardIndex Shard : Entry.Holds) {
+      if (Shard.Value < State.Holders.size()) {
+        std::erase(State.Holders[Shard.Value], Index);
       }
     }
+    if (--State.Reporters == 0) {
+      NeedsRebuild = NeedsRebuild || State.HasOtherLayouts;
+      this->Versions.erase(Found);
+    }
+  }
+  return NeedsRebuild;
+}
+
+void Directory::replaceHoldings(ServerIndex Index,
+                                std::vector<VersionReport> Held) {
+  bool NeedsRebuild = this->removeHoldings(Index);
+  this->shareLayouts(Held);
+  this->at(Index).Versions = std::move(Held);
+  if (NeedsRebuild) {
+    this->rebuildVersions();
+    return;
   }
+  this->addHoldings(Index);
 }
 
 } // namespace hickorycrank::routing
--- a/src/routing/directory_base.h
+++ b/src/routing/directory_base.h
@@ -17,6 +17,8 @@
 struct VersionState {
   std::shared_ptr<const Layout> Shards;
   std::vector<std::vector<base::ServerIndex>> Holders; ///< By shard index.
+  uint32_t Reporters = 0;       ///< Servers that report this layout.
+  bool HasOtherLayouts = false; ///< A server reported another layout.
 };
 
 /** What changed when a report or list was applied. */
@@ -24,6 +26,8 @@
   bool Appeared = false;   ///< A server can take work that could not before.
   bool NowLeaving = false; ///< The server began to leave.
   bool NewIncarnation = false; ///< The process was replaced or restarted.
+  /** The versions of a new process are not known; ask for a whole report. */
+  bool NeedsVersions = false;
 };
 
 /**
@@ -112,6 +116,19 @@
 
 private:
   void rebuildVersions();
+  /** Adds what a server holds to the index of versions. */
+  void addHoldings(base::ServerIndex Index);
+  /**
+   * Removes what a server holds from the index of versions. Changing one
+   * server's part keeps the first reports of N servers from costing N squared.
+   * @param Index The server.
+   * @return Whether a layout that was left out may take the removed one's
+   * place, so that the index must be rebuilt.
+   */
+  bool removeHoldings(base::ServerIndex Index);
+  /** Replaces what a server holds, in its state and in the index. */
+  void replaceHoldings(base::ServerIndex Index,
+                       std::vector<VersionReport> Held);
   /** Each report is decoded to a layout of its own; equal ones are stored once.
    */
   void shareLayouts(std::vector<VersionReport> &Held) const;
--- a/src/routing/server_type.h
+++ b/src/routing/server_type.h
@@ -33,6 +33,7 @@
   uint32_t Slots = 0;
   std::vector<VersionReport> Versions; ///< Unchanged if HasVersions is false.
   bool HasVersions = false;
+  std::string VersionsDigest; ///< Of Versions; empty if the server gives none.
 };
 
 /** One backend server in the platform's list. */
@@ -74,8 +75,10 @@
   bool ConnectionSuspect = false; ///< Next attempt needs a new connection.
   double ReportedLoad = 0;
   base::TimePoint ReportedAt;
+  base::TimePoint ConfirmedAt; ///< Last report that names the versions held.
   std::optional<base::QueryId> ReservedFor; ///< Runs one suspect alone.
   std::vector<VersionReport> Versions;
+  std::string VersionsDigest; ///< Of Versions as reported; empty: unknown.
 };
 
 } // namespace hickorycrank::routing
--- a/src/standin/backend_server.cpp
+++ b/src/standin/backend_server.cpp
@@ -50,6 +50,21 @@
   return Rows;
 }
 
+/**
+ * Writes the versions of a report.
+ * @param Versions Versions held.
+ * @return JSON array.
+ */
+json::array describeVersions(const std::vector<BackendVersion> &Versions) {
+  json::array All;
+  for (const BackendVersion &Held : Versions) {
+    All.push_back(json::object{{"version", Held.Version},
+                               {"layout", json::value_from(Held.Layout)},
+                               {"holds", json::value_from(Held.Holds)}});
+  }
+  return All;
+}
+
 } // namespace
 
 BackendServer::BackendServer(boost::asio::io_context &Context,
@@ -75,8 +90,10 @@
 }
 
 void BackendServer::setVersions(std::vector<BackendVersion> Held) {
+  std::string Digest = base::sha256Hex(json::serialize(describeVersions(Held)));
   std::lock_guard Lock(this->Mutex);
   this->Versions = std::move(Held);
+  this->VersionsDigest = std::move(Digest);
 }
 
 void BackendServer::crash() {
@@ -99,7 +116,8 @@
   return Copy;
 }
 
-std::string BackendServer::reportText(bool WithVersions) const {
+std::string BackendServer::reportText(bool WithVersions,
+                                      const std::string &KnownDigest) const {
   double Load =
       static_cast<double>(this->Running + this->Waiting.size()) /
       static_cast<double>(this->Behaviour.Slots + this->Behaviour.QueueLimit);
@@ -111,14 +129,12 @@
                       {"leaving", this->Behaviour.Leaving},
                       {"load", Load},
                       {"slots", this->Behaviour.Slots}};
-  if (WithVersions) {
-    json::array All;
-    for (const BackendVersion &Held : this->Versions) {
-      All.push_back(json::object{{"version", Held.Version},
-                                 {"layout", json::value_from(Held.Layout)},
-                                 {"holds", json::value_from(Held.Holds)}});
-    }
-    Report["versions"] = std::move(All);
+  bool Offers = this->Behaviour.OfferDigest && !this->VersionsDigest.empty();
+  if (Offers) {
+    Report["versions_digest"] = this->VersionsDigest;
+  }
+  if (WithVersions && !(Offers && KnownDigest == this->VersionsDigest)) {
+    Report["versions"] = describeVersions(this->Versions);
   }
   return json::serialize(Report);
 }
@@ -132,7 +148,11 @@
       if (this->Crashed) {
         return;
       }
-      Response.Body = this->reportText(true);
+      auto Known = Call.Request.Query.find("versions_digest");
+      Response.Body = this->reportText(
+          true, Known == Call.Request.Query.end() ? "" : Known->second);
+      ++this->Counters.Reports;
+      this->Counters.ReportBytes += Response.Body.size();
     }
     Call.Respond(std::move(Response));
     return;
--- a/src/standin/backend_server_base.h
+++ b/src/standin/backend_server_base.h
@@ -33,6 +33,7 @@
   bool WrongEcho = false;      ///< Replies with another attempt's id.
   bool Garbage = false;        ///< Replies with text that is no JSON.
   bool EchoParameters = false; ///< Rows carry the parameters of the request.
+  bool OfferDigest = true;     ///< Reports name a digest of the versions.
   std::string CrashText;       ///< Crashes on a request that holds this text.
   double ReportedLoad = -1;    ///< Overrides the true load unless negative.
 };
@@ -54,6 +55,8 @@
   uint64_t LastSearchMs = 0; ///< Steady clock, when the last search arrived.
   uint64_t MaxConnections = 0;
   uint64_t Accepted = 0;                     ///< Connections since the start.
+  uint64_t Reports = 0;                      ///< Replies to /v1/report.
+  uint64_t ReportBytes = 0;                  ///< Bytes of their bodies.
   std::map<std::string, uint64_t> RunsByKey; ///< Runs by the "key" parameter.
 };
 
@@ -110,7 +113,14 @@
   void replyStatus(const std::string &Attempt, uint64_t Version,
                    const std::string &Status, bool Ran,
                    const std::function<void(net::HttpResponse)> &Respond);
-  std::string reportText(bool WithVersions) const;
+  /**
+   * Writes the report; the mutex must be held.
+   * @param WithVersions Whether versions are wanted.
+   * @param KnownDigest Digest of versions that need not be sent again.
+   * @return JSON text.
+   */
+  std::string reportText(bool WithVersions,
+                         const std::string &KnownDigest = {}) const;
 
   boost::asio::io_context &Context;
   std::string Id;
@@ -120,6 +130,7 @@
   base::Random Generator;
   BackendBehaviour Behaviour;
   std::vector<BackendVersion> Versions;
+  std::string VersionsDigest; ///< Of Versions; empty if none is offered.
   std::deque<std::shared_ptr<Job>> Waiting;
   std::map<std::string, std::shared_ptr<Job>> Jobs;
   uint32_t Running = 0;
--- a/tests/engine_test.cpp
+++ b/tests/engine_test.cpp
@@ -250,7 +250,8 @@
 }
 
 // Guards against retries that multiply the load when every attempt fails.
-TEST_CASE("retries stay within a tenth of first attempts", "[engine]") {
+TEST_CASE("retries stay within a tenth of first attempts",
+          "[engine][virtual-time]") {
   EngineHarness Test;
   Test.addServers(3, 1, {1});
   uint64_t First = 0;
--- a/tests/model_check_test.cpp
+++ b/tests/model_check_test.cpp
@@ -483,7 +483,8 @@
 
 // Guards against an order of deliveries, stale reads, restarts and partitions
 // in which a revision falls or instances stay apart.
-TEST_CASE("the configuration rule holds in every order", "[model]") {
+TEST_CASE("the configuration rule holds in every order",
+          "[model][virtual-time]") {
   Search Result = explore(ConfigModel{});
   print("configuration rule", Result);
   CHECK(Result.Violation.empty());
@@ -507,7 +508,7 @@
 
 // Guards against an order of sends, repeats, lost replies, restarts, pauses
 // and expiries in which a ticketed request runs twice.
-TEST_CASE("the ticket rules hold in every order", "[model]") {
+TEST_CASE("the ticket rules hold in every order", "[model][virtual-time]") {
   Search Result = explore(TicketModel(TicketFault::None));
   print("ticket rules", Result);
   CHECK(Result.Violation.empty());
@@ -515,7 +516,7 @@
 }
 
 // Guards against a check that would not see a second run.
-TEST_CASE("the check finds each missing ticket rule", "[model]") {
+TEST_CASE("the check finds each missing ticket rule", "[model][virtual-time]") {
   const std::pair<TicketFault, const char *> Faults[] = {
       {TicketFault::RunsRepeats, "tickets, repeats run"},
       {TicketFault::AcceptsOthers, "tickets, issuing process ignored"},
--- a/tests/peers_rules_test.cpp
+++ b/tests/peers_rules_test.cpp
@@ -91,7 +91,7 @@
 }
 
 // Guards against false deaths on a lossy network.
-TEST_CASE("lost frames kill nobody", "[peers]") {
+TEST_CASE("lost frames kill nobody", "[peers][virtual-time]") {
   VirtualFleet Fleet(32, GENERATE(1U, 2U, 3U));
   Fleet.Loss = 0.05;
   Fleet.run(120s);
@@ -201,7 +201,8 @@
 }
 
 // Guards the bound of 3 s for a leaving backend server at the two-year size.
-TEST_CASE("a fact reaches 680 instances within 3 s despite loss", "[peers]") {
+TEST_CASE("a fact reaches 680 instances within 3 s despite loss",
+          "[peers][virtual-time]") {
   VirtualFleet Fleet(680, 7, 7);
   Fleet.Loss = 0.05;
   Fleet.run(2s);
--- /dev/null
+++ b/tests/report_test.cpp
@@ -0,0 +1,223 @@
+// Reports of backend servers: the index of versions that is kept from them,
+// and reports that leave out versions the instance knows.
+#include "base/random_base.h"
+#include "loopback.h"
+#include "property.h"
+#include "routing/directory_base.h"
+
+using namespace hickorycrank;
+using namespace hickorycrank::tests;
+
+namespace {
+
+constexpr base::TimePoint Start{std::chrono::hours(1)};
+
+base::ServerId serverName(uint32_t Index) {
+  return base::ServerId("server-" + std::to_string(Index));
+}
+
+std::vector<routing::ServerListing> listServers(uint32_t Count) {
+  std::vector<routing::ServerListing> Listed;
+  for (uint32_t I = 0; I < Count; ++I) {
+    routing::ServerListing Entry;
+    Entry.Server = serverName(I);
+    Entry.Address = "127.0.0.1:" + std::to_string(1000 + I);
+    Entry.Process = base::Incarnation(1);
+    Listed.push_back(Entry);
+  }
+  return Listed;
+}
+
+routing::VersionReport holding(uint64_t Version, uint32_t Shards,
+                               std::vector<uint32_t> Holds) {
+  routing::Layout Made{base::VersionId(Version), {}};
+  for (uint32_t I = 0; I < Shards; ++I) {
+    Made.Shards.push_back("shard-" + std::to_string(I));
+  }
+  routing::VersionReport Report{
+      std::make_shared<const routing::Layout>(std::move(Made)), {}};
+  for (uint32_t Shard : Holds) {
+    Report.Holds.emplace_back(Shard);
+  }
+  return Report;
+}
+
+routing::ServerReport report(uint32_t Server,
+                             std::vector<routing::VersionReport> Versions,
+                             uint64_t Process = 1) {
+  routing::ServerReport Made;
+  Made.Server = serverName(Server);
+  Made.Process = base::Incarnation(Process);
+  Made.Versions = std::move(Versions);
+  Made.HasVersions = true;
+  return Made;
+}
+
+/** The index of versions as text, to compare two directories. */
+std::string indexOf(const routing::Directory &Servers) {
+  std::string Text;
+  for (const auto &[Version, State] : Servers.versions()) {
+    Text += std::to_string(Version.Value) + "x" +
+            std::to_string(State.Shards->Shards.size()) + "#" +
+            std::to_string(State.Reporters) + ":";
+    for (const auto &Holders : State.Holders) {
+      for (base::ServerIndex Index : Holders) {
+        Text += std::to_string(Index.Value) + ",";
+      }
+      Text += ";";
+    }
+  }
+  return Text;
+}
+
+/** One random change of a directory of ServerCount servers. */
+void changeAtRandom(routing::Directory &Servers, base::Random &Draw) {
+  constexpr uint32_t ServerCount = 6;
+  constexpr uint32_t ShardCount = 4;
+  auto Server = static_cast<uint32_t>(Draw.below(ServerCount));
+  switch (Draw.below(6)) {
+  case 0: {
+    auto Listed = listServers(ServerCount);
+    Listed.erase(Listed.begin() + Server);
+    Servers.applyList(Start, Listed);
+    break;
+  }
+  case 1:
+    Servers.applyList(Start, listServers(ServerCount));
+    break;
+  case 2:
+    Servers.dropVersion(base::ServerIndex(Server),
+                        base::VersionId(1 + Draw.below(3)));
+    break;
+  case 3:
+    Servers.markLeaving(serverName(Server),
+                        base::Incarnation(1 + Draw.below(2)));
+    break;
+  default: {
+    std::vector<routing::VersionReport> Versions;
+    for (uint64_t Version = 1; Version <= 3; ++Version) {
+      if (Draw.below(2) == 0) {
+        continue;
+      }
+      std::vector<uint32_t> Holds;
+      for (uint32_t Shard = 0; Shard < ShardCount; ++Shard) {
+        if (Draw.below(2) == 0) {
+          Holds.push_back(Shard);
+        }
+      }
+      Versions.push_back(holding(Version, ShardCount, Holds));
+    }
+    Servers.applyReport(Start,
+                        report(Server, std::move(Versions), 1 + Draw.below(2)));
+  }
+  }
+}
+
+} // namespace
+
+// Guards against an index that drifts from what the servers hold, because it
+// is changed server by server: a list rebuilds it from the servers' states.
+TEST_CASE("the index of versions is the one of a rebuild", "[reports]") {
+  checkProperty(
+      [](uint64_t Seed) {
+        base::Random Draw(Seed);
+        routing::Directory Servers(routing::Policy{}, 3);
+        Servers.applyList(Start, listServers(6));
+        for (int Step = 0; Step < 40; ++Step) {
+          changeAtRandom(Servers, Draw);
+          std::vector<routing::ServerListing> Listed;
+          for (const routing::ServerState &Server : Servers.servers()) {
+            if (Server.Phase != routing::ServerPhase::Gone) {
+              Listed.push_back({Server.Id, Server.Address, Server.Domain,
+                                Server.Process, false});
+            }
+          }
+          routing::Directory Rebuilt = Servers;
+          Rebuilt.applyList(Start, Listed);
+          RC_ASSERT(indexOf(Servers) == indexOf(Rebuilt));
+        }
+      },
+      100);
+}
+
+// Guards against a layout that is left out for good because another one was
+// reported first, by a server that no longer holds it.
+TEST_CASE("a layout left out takes the place of one that is gone",
+          "[reports]") {
+  routing::Directory Servers(routing::Policy{}, 3);
+  Servers.applyList(Start, listServers(2));
+  Servers.applyReport(Start, report(0, {holding(1, 4, {0})}));
+  Servers.applyReport(Start, report(1, {holding(1, 5, {4})}));
+  CHECK(indexOf(Servers) == "1x4#1:0,;;;;");
+  Servers.applyReport(Start, report(0, {}));
+  CHECK(indexOf(Servers) == "1x5#1:;;;;1,;");
+}
+
+// Guards against a digest of an earlier process that suppresses the versions
+// of the new one.
+TEST_CASE("a digest counts for one process and until a version is dropped",
+          "[reports]") {
+  routing::Directory Servers(routing::Policy{}, 3);
+  Servers.applyList(Start, listServers(1));
+  base::ServerIndex Index(0);
+  auto Whole = report(0, {holding(1, 2, {0, 1})});
+  Whole.VersionsDigest = "d1";
+  CHECK_FALSE(Servers.applyReport(Start, Whole).NeedsVersions);
+  CHECK(Servers.at(Index).VersionsDigest == "d1");
+  auto Brief = Whole;
+  Brief.HasVersions = false;
+  Brief.Versions.clear();
+  CHECK_FALSE(Servers.applyReport(Start, Brief).NeedsVersions);
+  CHECK(indexOf(Servers) == "1x2#1:0,;0,;");
+  Servers.dropVersion(Index, base::VersionId(1));
+  CHECK(Servers.at(Index).VersionsDigest.empty());
+  Servers.applyReport(Start, Whole);
+  Brief.Process = base::Incarnation(2);
+  CHECK(Servers.applyReport(Start, Brief).NeedsVersions);
+  CHECK(Servers.at(Index).VersionsDigest.empty());
+}
+
+// Guards against reports that carry the layout each second, and against a new
+// version that is not noticed, or a server without digests that is not used.
+TEST_CASE("unchanged versions are left out of reports", "[reports]") {
+  Loopback Site(1);
+  Site.Stand.server("stock", 0).change([](standin::BackendBehaviour &How) {
+    How.OfferDigest = false;
+  });
+  REQUIRE(Site.waitUntilServing(0));
+  auto Grown = [&](size_t Server) {
+    auto Before = Site.Stand.server("stock", Server).counters();
+    REQUIRE(eventually([&] {
+      return Site.Stand.server("stock", Server).counters().Reports >=
+             Before.Reports + 3;
+    }));
+    auto After = Site.Stand.server("stock", Server).counters();
+    return (After.ReportBytes - Before.ReportBytes) /
+           (After.Reports - Before.Reports);
+  };
+  uint64_t Whole = Grown(0);
+  uint64_t Brief = Grown(1);
+  WARN("bytes of a report: " << Whole << " with versions, " << Brief
+                             << " without");
+  CHECK(Brief < Whole);
+
+  // Replies carry the digest, so that a busy server is not asked as well.
+  auto Load = Site.callers(1);
+  Load->run({Loopback::cartSearch(200)}, std::chrono::seconds(1));
+  auto Before = Site.Stand.server("stock", 1).counters();
+  Load->run({Loopback::cartSearch(200)}, std::chrono::seconds(4));
+  auto After = Site.Stand.server("stock", 1).counters();
+  WARN("reports asked for in 4 s under load: "
+       << After.Reports - Before.Reports << " besides "
+       << After.Served - Before.Served << " replies");
+  CHECK(After.Reports - Before.Reports < 3); // Four are asked when idle.
+
+  Site.Stand.setVersions("stock", {2});
+  CHECK(eventually(
+      [&] {
+        auto Answer = Site.ask(0, "cart-search", R"({"colour":"blue"})");
+        return isWhole(Answer) &&
+               Answer.Body.at("snapshot").to_number<uint64_t>() == 2;
+      },
+      std::chrono::seconds(3)));
+}
