--- a/tests/engine_property_test.cpp
+++ b/tests/engine_property_test.cpp
@@ -302,7 +302,8 @@
 // one response each, one version an answer, true coverage, at most one run of
 // a request that is not idempotent, exact refusals, no work for leaving
 // servers, nothing expired sent, no count or reservation left behind.
-TEST_CASE("promises hold in random orders of events", "[engine][property]") {
+TEST_CASE("promises hold in random orders of events",
+          "[engine][property][virtual-time]") {
   constexpr int Runs = 500;
   checkProperty([](uint64_t Seed) { Walk(Seed).run(); }, Runs);
 }
