Show the HTTP servers' refusals in /metrics

Cause: HttpServer counts malformed, oversized and slow requests and refused connections, but nothing read the counters, so operators could not see refusals that happen before a request reaches the tier.

Both servers' counters are now series of http_refusals_total by server and reason, and http_connections_total. They are rendered when /metrics is read; copying them into the registry was ruled out, since it would count twice.

--- a/src/daemon/admin_api_func.cpp
+++ b/src/daemon/admin_api_func.cpp
@@ -138,6 +138,30 @@
   return Text;
 }
 
+/**
+ * Writes the counters of one HTTP server.
+ * @param Server Name of the server.
+ * @param Counters What it counted.
+ * @return Prometheus text.
+ */
+std::string renderHttpServer(const std::string &Server,
+                             const net::HttpServerCounters &Counters) {
+  std::string Text = metrics::formatSample(
+      "hickorycrank_http_connections_total", {{"server", Server}},
+      static_cast<double>(Counters.Accepted));
+  const std::pair<const char *, uint64_t> Reasons[] = {
+      {"malformed", Counters.Malformed},
+      {"too_large", Counters.TooLarge},
+      {"read_timeout", Counters.ReadTimeouts},
+      {"too_many_connections", Counters.TooManyConnections}};
+  for (const auto &[Reason, Value] : Reasons) {
+    Text += metrics::formatSample("hickorycrank_http_refusals_total",
+                                  {{"server", Server}, {"reason", Reason}},
+                                  static_cast<double>(Value));
+  }
+  return Text;
+}
+
 /**
  * Writes the members for the status page.
  * @param Status What is known together with them.
@@ -171,7 +195,8 @@
 
 } // namespace
 
-std::string renderMetrics(Tier &Serving, const PeerNode &Peers) {
+std::string renderMetrics(Tier &Serving, const PeerNode &Peers,
+                          const HttpCounters &Servers) {
   std::string Text = Serving.metrics().render();
   Text += metrics::formatSample(
       "hickorycrank_configuration_revision", {},
@@ -180,6 +205,8 @@
     Text += renderService(Status);
   }
   Text += renderPeers(Peers.status());
+  Text += renderHttpServer("callers", Servers.Callers);
+  Text += renderHttpServer("admin", Servers.Admin);
   return Text;
 }
 
@@ -200,7 +227,7 @@
 }
 
 void handleAdmin(Tier &Serving, const PeerNode &Peers,
-                 const net::HttpCall &Call) {
+                 const HttpCounters &Servers, const net::HttpCall &Call) {
   net::HttpResponse Response;
   const std::string &Path = Call.Request.Path;
   if (Path == "/live") {
@@ -213,7 +240,7 @@
                      {"config_unconfirmed", Peers.status().Unconfirmed}});
   } else if (Path == "/metrics") {
     Response.ContentType = "text/plain; version=0.0.4";
-    Response.Body = renderMetrics(Serving, Peers);
+    Response.Body = renderMetrics(Serving, Peers, Servers);
   } else if (Path == "/status") {
     Response.Body = renderStatus(Serving, Peers);
   } else {
--- a/src/daemon/admin_api_func.h
+++ b/src/daemon/admin_api_func.h
@@ -9,22 +9,31 @@
 
 namespace hickorycrank::daemon {
 
+/** Counters of the HTTP servers of an instance. */
+struct HttpCounters {
+  net::HttpServerCounters Callers;
+  net::HttpServerCounters Admin;
+};
+
 /**
  * Serves operators: /live, /ready, /metrics and /status.
  * @param Serving The tier.
  * @param Peers What the instance knows together with its peers.
+ * @param Servers Counters of the HTTP servers.
  * @param Call The request; answered exactly once.
  */
 void handleAdmin(Tier &Serving, const PeerNode &Peers,
-                 const net::HttpCall &Call);
+                 const HttpCounters &Servers, const net::HttpCall &Call);
 
 /**
  * Writes all metrics as Prometheus text.
  * @param Serving The tier.
  * @param Peers What the instance knows together with its peers.
+ * @param Servers Counters of the HTTP servers.
  * @return Text in the exposition format.
  */
-std::string renderMetrics(Tier &Serving, const PeerNode &Peers);
+std::string renderMetrics(Tier &Serving, const PeerNode &Peers,
+                          const HttpCounters &Servers);
 
 /**
  * Writes an instance's view as JSON.
--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -60,7 +60,10 @@
                    }),
       AdminServer(Context, Own.Admin, net::HttpLimits{},
                   [this](const net::HttpCall &Call) {
-                    handleAdmin(this->Serving, *this->Peers, Call);
+                    handleAdmin(this->Serving, *this->Peers,
+                                {this->CallerServer.counters(),
+                                 this->AdminServer.counters()},
+                                Call);
                   }),
       TickTimer(Context) {
   this->Tickets->setPeerCall(this->Peers->caller());
--- a/tests/caller_failure_test.cpp
+++ b/tests/caller_failure_test.cpp
@@ -38,6 +38,22 @@
   return Bytes ? Bytes->substr(0, Bytes->find("\r\n")) : "no close";
 }
 
+/** Requests that a server of an instance refused, as /metrics shows them. */
+std::string httpRefusals(Loopback &Cluster, const std::string &Server,
+                         const std::string &Reason) {
+  RawCaller Operator(Cluster.Instances[0]->admin());
+  Operator.write("GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n");
+  std::string Text = Operator.readAll(CloseLimit).value_or("");
+  std::string Series = "\nhickorycrank_http_refusals_total{reason=\"" + Reason +
+                       "\",server=\"" + Server + "\"} ";
+  size_t Found = Text.find(Series);
+  if (Found == std::string::npos) {
+    return "no series";
+  }
+  size_t Begin = Found + Series.size();
+  return Text.substr(Begin, Text.find('\n', Begin) - Begin);
+}
+
 } // namespace
 
 // Guards against work at backend servers for a caller that has gone.
@@ -153,6 +169,54 @@
   CHECK(Idle.readAll(CloseLimit).has_value());
 }
 
+// Guards against refusals that operators cannot see because they happen before
+// a request reaches the counters of the tier, and against one reason counted as
+// another.
+TEST_CASE("metrics show what the HTTP servers refuse", "[caller]") {
+  Loopback Cluster(1, 3, [](config::Settings &Own) {
+    Own.RequestReadTimeout = std::chrono::milliseconds(100);
+    Own.MaxCallerConnections = 8;
+  });
+  REQUIRE(Cluster.waitUntilServing(0));
+  const config::Endpoint Callers = Cluster.Instances[0]->callers();
+  const std::array<const char *, 4> Reasons = {
+      "malformed", "too_large", "read_timeout", "too_many_connections"};
+  for (const char *Reason : Reasons) {
+    CHECK(httpRefusals(Cluster, "callers", Reason) == "0");
+    CHECK(httpRefusals(Cluster, "admin", Reason) == "0");
+  }
+  RawCaller Malformed(Callers);
+  Malformed.write("\x01\x02 not HTTP at all\r\n\r\n");
+  REQUIRE(Malformed.readAll(CloseLimit).has_value());
+  CHECK(httpRefusals(Cluster, "callers", "malformed") == "1");
+  for (int I = 0; I < 2; ++I) {
+    RawCaller Oversized(Callers);
+    Oversized.write(queryText("cart-search", std::string(200'000, ' ')));
+    REQUIRE(Oversized.readAll(CloseLimit).has_value());
+  }
+  CHECK(httpRefusals(Cluster, "callers", "too_large") == "2");
+  for (int I = 0; I < 3; ++I) {
+    RawCaller Slow(Callers);
+    Slow.write("POST /v1/query/cart-search HTTP/1.1\r\n");
+    REQUIRE(Slow.readAll(CloseLimit).has_value());
+  }
+  CHECK(httpRefusals(Cluster, "callers", "read_timeout") == "3");
+  std::vector<std::unique_ptr<RawCaller>> Many;
+  for (int I = 0; I < 12; ++I) {
+    Many.push_back(std::make_unique<RawCaller>(Callers));
+  }
+  CHECK(eventually([&] {
+    return httpRefusals(Cluster, "callers", "too_many_connections") != "0";
+  }));
+  CHECK(httpRefusals(Cluster, "callers", "malformed") == "1");
+  CHECK(httpRefusals(Cluster, "callers", "too_large") == "2");
+  CHECK(httpRefusals(Cluster, "callers", "read_timeout") == "3");
+  RawCaller ToAdmin(Cluster.Instances[0]->admin());
+  ToAdmin.write("\x01\x02 not HTTP at all\r\n\r\n");
+  REQUIRE(ToAdmin.readAll(CloseLimit).has_value());
+  CHECK(httpRefusals(Cluster, "admin", "malformed") == "1");
+}
+
 // Guards against use of another organisation's template, and against telling
 // that it exists.
 TEST_CASE("another organisation's template is refused like an unknown one",
