Bound the platform's reader's tries for missing documents

Cause: after a manifest whose document is not at the platform, the reader asked for the document twice a second for ever, also when a later manifest was in force. Several such manifests added up.

Now delays double from 0.25 s with jitter; after 6 failed calls the manifest is given up for now, logged (configuration.abandoned, with the remedy) and counted. The missing document is then asked for once every 30 to 90 s, so that one that appears late is found. A failed call for a manifest that a later one has replaced is not repeated. Ruled out: to end healthy readings when a later manifest arrives, since that one may itself be incomplete. Calls that the platform does not answer count too, because a platform may answer an unknown key with an error.

--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -99,6 +99,11 @@
         auto Self = Weak.lock();
         return Self ? Self->findDocument(Digest) : std::string();
       };
+  Callbacks.OnAbandoned = [Weak = this->weak_from_this()](base::Revision) {
+    if (auto Self = Weak.lock()) {
+      Self->Serving.metrics().add("hickorycrank_configuration_abandoned", {});
+    }
+  };
   this->Reader = std::make_shared<PlatformReader>(
       this->Context, this->Serving.settings().Platform,
       base::randomAttemptId().Low, std::move(Callbacks));
--- a/src/daemon/platform_reader.cpp
+++ b/src/daemon/platform_reader.cpp
@@ -45,8 +45,10 @@
 
 PlatformReader::PlatformReader(boost::asio::io_context &Context,
                                const std::vector<config::Endpoint> &Addresses,
-                               uint64_t Seed, PlatformCallbacks Callbacks)
-    : Context(Context), Callbacks(std::move(Callbacks)), Generator(Seed) {
+                               uint64_t Seed, PlatformCallbacks Callbacks,
+                               DocumentRetries Retries)
+    : Context(Context), Callbacks(std::move(Callbacks)), Retries(Retries),
+      Generator(Seed) {
   net::PoolLimits Limits;
   Limits.MaxConnections = ReplicaConnections;
   for (const config::Endpoint &Address : Addresses) {
@@ -248,6 +250,7 @@
     return;
   }
   auto Pending = std::make_shared<Fetch>();
+  Pending->Version = Value.Version;
   Pending->Texts.Manifest = Value.Text;
   for (const config::DocumentRef &Ref : Listed.value().Documents) {
     std::string Known = this->Callbacks.FindDocument(Ref.Sha256);
@@ -276,8 +279,7 @@
                                ? net::decodeValue(Body.value())
                                : base::Result<net::PlatformValue>(Body.error());
               if (Value.has_error() || Value.value().Text.empty()) {
-                Self->later(Self->jitter(RetryDelay),
-                            [Self, Pending] { Self->fetchNext(Pending); });
+                Self->onMissing(Pending);
                 return;
               }
               Pending->Texts.Documents[Digest] = std::move(Value.value().Text);
@@ -286,4 +288,29 @@
             });
 }
 
+void PlatformReader::onMissing(const std::shared_ptr<Fetch> &Pending) {
+  {
+    std::lock_guard Lock(this->Mutex);
+    if (this->ManifestVersion > Pending->Version) {
+      return; // The platform has a later manifest.
+    }
+  }
+  ++Pending->Failures;
+  std::chrono::milliseconds Delay = this->Retries.RecheckInterval;
+  if (Pending->Failures < MaxDocumentFailures) {
+    Delay = this->Retries.FirstDelay * (1U << (Pending->Failures - 1));
+  } else {
+    base::Revision Number = Pending->Listed.Number;
+    logEvent(LogLevel::Error, "configuration.abandoned",
+             {{"revision", std::to_string(Number.Value)},
+              {"missing_sha256", Pending->Missing.back()},
+              {"remedy", "publish the missing document, or a manifest with a "
+                         "higher revision"}});
+    this->Callbacks.OnAbandoned(Number);
+  }
+  this->later(this->jitter(Delay), [Self = this->shared_from_this(), Pending] {
+    Self->fetchNext(Pending);
+  });
+}
+
 } // namespace hickorycrank::daemon
--- a/src/daemon/platform_reader_base.h
+++ b/src/daemon/platform_reader_base.h
@@ -28,6 +28,14 @@
   std::function<void(net::InstanceList)> OnInstances;
   /** Looks up a document that is already known, by digest. */
   std::function<std::string(const std::string &)> FindDocument;
+  /** A manifest was given up for now because documents of it are missing. */
+  std::function<void(base::Revision)> OnAbandoned;
+};
+
+/** How long the reader waits for documents; each delay is jittered. */
+struct DocumentRetries {
+  std::chrono::milliseconds FirstDelay{250}; ///< Doubles with each failure.
+  std::chrono::milliseconds RecheckInterval{60'000}; ///< After giving up.
 };
 
 /**
@@ -43,14 +51,18 @@
    * @param Replicas Addresses of the platform's replicas.
    * @param Seed For jitter.
    * @param Callbacks What to tell the owner.
+   * @param Retries Delays while documents are missing.
    */
   PlatformReader(boost::asio::io_context &Context,
                  const std::vector<config::Endpoint> &Replicas, uint64_t Seed,
-                 PlatformCallbacks Callbacks);
+                 PlatformCallbacks Callbacks, DocumentRetries Retries = {});
 
   /** Begins to watch the list of instances and the configuration. */
   void start();
 
+  /** Failed calls for documents after which a manifest is given up. */
+  static constexpr uint32_t MaxDocumentFailures = 6;
+
   /** Stops watching; no callback is started afterwards. */
   void stop();
 
@@ -74,6 +86,8 @@
     config::Manifest Listed;
     config::ConfigurationTexts Texts;
     std::vector<std::string> Missing; ///< Digests still to read.
+    uint64_t Version = 0;             ///< The platform's, of the manifest.
+    uint32_t Failures = 0;            ///< Calls that brought no document.
   };
 
   void get(const std::string &Path, std::chrono::milliseconds Timeout,
@@ -83,12 +97,14 @@
   void pollLater();
   void onManifest(const net::PlatformValue &Value);
   void fetchNext(const std::shared_ptr<Fetch> &Pending);
+  void onMissing(const std::shared_ptr<Fetch> &Pending);
   void later(std::chrono::milliseconds Delay, std::function<void()> Callback);
   std::chrono::milliseconds jitter(std::chrono::milliseconds Span);
 
   boost::asio::io_context &Context;
   std::vector<std::shared_ptr<net::HttpPool>> Replicas;
   PlatformCallbacks Callbacks;
+  DocumentRetries Retries;
   std::atomic<uint64_t> Calls{0};
   std::atomic<bool> Read{false};
   std::atomic<bool> Stopped{false};
--- a/tests/platform_failure_test.cpp
+++ b/tests/platform_failure_test.cpp
@@ -22,6 +22,13 @@
          std::string::npos;
 }
 
+/** A manifest whose document is not at the platform. */
+std::string manifestOfMissing(uint64_t Revision) {
+  return "revision = " + std::to_string(Revision) +
+         "\n[documents]\n\"service/stock\" = \"" + std::string(64, '0') +
+         "\"\n";
+}
+
 } // namespace
 
 // Guards against an instance that forgets its servers or configuration while
@@ -94,14 +101,105 @@
   REQUIRE(Cluster.waitUntilServing(0));
   standin::Platform &Platform = Cluster.Stand.platform();
   Platform.setValue("hickorycrank/manifest", "revision = [");
-  Platform.setValue("hickorycrank/manifest",
-                    "revision = 2\n[documents]\n\"service/stock\" = \"" +
-                        std::string(64, '0') + "\"\n");
+  Platform.setValue("hickorycrank/manifest", manifestOfMissing(2));
   Platform.publish(3, Cluster.Documents);
   CHECK(eventually([&] { return revision(Cluster, 0) == 3; }));
   CHECK(isWhole(Cluster.ask(0, "cart-search", R"({"colour":"pink"})")));
 }
 
+// Guards against readers that ask the platform for ever for a document that was
+// never published, and against one that misses the next good revision.
+TEST_CASE("reading a manifest without its documents is bounded", "[platform]") {
+  Loopback Cluster(1);
+  REQUIRE(Cluster.waitUntilServing(0));
+  standin::Platform &Platform = Cluster.Stand.platform();
+  uint64_t Before = Platform.calls();
+  Platform.setValue("hickorycrank/manifest", manifestOfMissing(2));
+  REQUIRE(eventually(
+      [&] { return counts(Cluster, "hickorycrank_configuration_abandoned"); },
+      std::chrono::seconds(20)));
+  // 6 tries for the document, and one call for each watch that begins again.
+  CHECK(Platform.calls() - Before <= 10U);
+  uint64_t AtEnd = Platform.calls();
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  CHECK(Platform.calls() - AtEnd <= 2U);
+  CHECK(revision(Cluster, 0) == 1);
+  CHECK(isWhole(Cluster.ask(0, "cart-search", R"({"colour":"pink"})")));
+  Platform.publish(3, Cluster.Documents);
+  CHECK(eventually([&] { return revision(Cluster, 0) == 3; }));
+}
+
+// Guards against a reader that goes on asking for the documents of a manifest
+// that a later one has replaced.
+TEST_CASE("a later manifest ends the reading of the one before", "[platform]") {
+  Loopback Cluster(1);
+  REQUIRE(Cluster.waitUntilServing(0));
+  standin::Platform &Platform = Cluster.Stand.platform();
+  Platform.setValue("hickorycrank/manifest", manifestOfMissing(2));
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  Platform.publish(3, Cluster.Documents);
+  REQUIRE(eventually([&] { return revision(Cluster, 0) == 3; }));
+  uint64_t Before = Platform.calls();
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  CHECK(Platform.calls() - Before <= 2U);
+  CHECK_FALSE(counts(Cluster, "hickorycrank_configuration_abandoned"));
+}
+
+// Guards against a document that is never read because it was published some
+// time after the manifest that names it.
+TEST_CASE("documents that appear after their manifest are found",
+          "[platform]") {
+  Loopback Cluster(1);
+  REQUIRE(Cluster.waitUntilServing(0));
+  standin::Platform &Platform = Cluster.Stand.platform();
+  auto Changed = Cluster.Documents;
+  Changed.at("template/cart-search") += "# changed\n";
+  Platform.setValue("hickorycrank/manifest",
+                    config::formatManifest(base::Revision(2), Changed));
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  CHECK(revision(Cluster, 0) == 1);
+  Platform.publish(2, Changed);
+  CHECK(eventually([&] { return revision(Cluster, 0) == 2; }));
+}
+
+// Guards against a manifest that is forgotten once it was given up: a document
+// published much later must still be found, with few calls until then.
+TEST_CASE("an abandoned manifest is read again at long intervals",
+          "[platform]") {
+  Runner Running(2);
+  standin::Platform Platform(Running.Context, config::Endpoint{"127.0.0.1", 0});
+  std::map<std::string, std::string> Documents = {{"service/s", "text"}};
+  Platform.setValue("hickorycrank/manifest",
+                    config::formatManifest(base::Revision(2), Documents));
+  std::atomic<uint32_t> Abandoned{0};
+  std::atomic<uint32_t> Whole{0};
+  daemon::PlatformCallbacks Callbacks;
+  Callbacks.OnConfiguration = [&](const config::ConfigurationTexts &) {
+    ++Whole;
+  };
+  Callbacks.OnInstances = [](const net::InstanceList &) {};
+  Callbacks.FindDocument = [](const std::string &) { return std::string(); };
+  Callbacks.OnAbandoned = [&](base::Revision Number) {
+    Abandoned += Number == base::Revision(2) ? 1 : 100;
+  };
+  auto Reader = std::make_shared<daemon::PlatformReader>(
+      Running.Context, std::vector<config::Endpoint>{Platform.endpoint()}, 1,
+      std::move(Callbacks),
+      daemon::DocumentRetries{std::chrono::milliseconds(5),
+                              std::chrono::milliseconds(200)});
+  Reader->start();
+  REQUIRE(eventually([&] { return Abandoned == 3; }));
+  // Each time after the first costs one call; three more are the watches.
+  CHECK(Reader->calls() <= daemon::PlatformReader::MaxDocumentFailures + 2 + 4);
+  CHECK(Whole == 0);
+  Platform.publish(2, Documents);
+  CHECK(eventually([&] { return Whole == 1; }));
+  Reader->stop();
+  Platform.stop();
+  Running.join();
+  Reader->release();
+}
+
 // Guards against a configuration that reverts when a stale one is published.
 TEST_CASE("an older revision never replaces the one in force", "[platform]") {
   Loopback Cluster(1);
