--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -60,7 +60,10 @@
                    }),
       AdminServer(Context, Own.Admin, net::HttpLimits{},
                   [this](const net::HttpCall &Call) {
-                    handleAdmin(this->Serving, *this->Peers, Call);
+                    handleAdmin(this->Serving, *this->Peers,
+                                {this->CallerServer.counters(),
+                                 this->AdminServer.counters()},
+                                Call);
                   }),
       TickTimer(Context) {
   this->Tickets->setPeerCall(this->Peers->caller());
@@ -96,6 +99,11 @@
         auto Self = Weak.lock();
         return Self ? Self->findDocument(Digest) : std::string();
       };
+  Callbacks.OnAbandoned = [Weak = this->weak_from_this()](base::Revision) {
+    if (auto Self = Weak.lock()) {
+      Self->Serving.metrics().add("hickorycrank_configuration_abandoned", {});
+    }
+  };
   this->Reader = std::make_shared<PlatformReader>(
       this->Context, this->Serving.settings().Platform,
       base::randomAttemptId().Low, std::move(Callbacks));
