Do not take a platform that is down for a missing document

Cause: a failed call for a document counted as an answer without it, so that a platform outage of some seconds while a manifest is read would put its revision in force only after the recheck interval of 30 to 90 s; 15 s are allowed. Ruled out: a shorter recheck interval, which costs calls for documents that never appear. Now only answers without the document count; failed calls are repeated about every half second. With the earlier rule the new test (platform down for 3 s) fails; now the revision is in force within 3 s of the platform's return.

--- a/src/daemon/platform_reader.cpp
+++ b/src/daemon/platform_reader.cpp
@@ -278,7 +278,12 @@
               auto Value = Body.has_value()
                                ? net::decodeValue(Body.value())
                                : base::Result<net::PlatformValue>(Body.error());
-              if (Value.has_error() || Value.value().Text.empty()) {
+              if (Value.has_error()) {
+                // The platform is down: it says nothing about the document.
+                Self->fetchLater(Pending, RetryDelay);
+                return;
+              }
+              if (Value.value().Text.empty()) {
                 Self->onMissing(Pending);
                 return;
               }
@@ -289,12 +294,6 @@
 }
 
 void PlatformReader::onMissing(const std::shared_ptr<Fetch> &Pending) {
-  {
-    std::lock_guard Lock(this->Mutex);
-    if (this->ManifestVersion > Pending->Version) {
-      return; // The platform has a later manifest.
-    }
-  }
   ++Pending->Failures;
   std::chrono::milliseconds Delay = this->Retries.RecheckInterval;
   if (Pending->Failures < MaxDocumentFailures) {
@@ -308,6 +307,17 @@
                          "higher revision"}});
     this->Callbacks.OnAbandoned(Number);
   }
+  this->fetchLater(Pending, Delay);
+}
+
+void PlatformReader::fetchLater(const std::shared_ptr<Fetch> &Pending,
+                                std::chrono::milliseconds Delay) {
+  {
+    std::lock_guard Lock(this->Mutex);
+    if (this->ManifestVersion > Pending->Version) {
+      return; // The platform has a later manifest.
+    }
+  }
   this->later(this->jitter(Delay), [Self = this->shared_from_this(), Pending] {
     Self->fetchNext(Pending);
   });
--- a/src/daemon/platform_reader_base.h
+++ b/src/daemon/platform_reader_base.h
@@ -60,7 +60,7 @@
   /** Begins to watch the list of instances and the configuration. */
   void start();
 
-  /** Failed calls for documents after which a manifest is given up. */
+  /** Answers without the document after which a manifest is given up. */
   static constexpr uint32_t MaxDocumentFailures = 6;
 
   /** Stops watching; no callback is started afterwards. */
@@ -87,7 +87,7 @@
     config::ConfigurationTexts Texts;
     std::vector<std::string> Missing; ///< Digests still to read.
     uint64_t Version = 0;             ///< The platform's, of the manifest.
-    uint32_t Failures = 0;            ///< Calls that brought no document.
+    uint32_t Failures = 0;            ///< Answers without the document.
   };
 
   void get(const std::string &Path, std::chrono::milliseconds Timeout,
@@ -98,6 +98,8 @@
   void onManifest(const net::PlatformValue &Value);
   void fetchNext(const std::shared_ptr<Fetch> &Pending);
   void onMissing(const std::shared_ptr<Fetch> &Pending);
+  void fetchLater(const std::shared_ptr<Fetch> &Pending,
+                  std::chrono::milliseconds Delay);
   void later(std::chrono::milliseconds Delay, std::function<void()> Callback);
   std::chrono::milliseconds jitter(std::chrono::milliseconds Span);
 
--- a/tests/platform_failure_test.cpp
+++ b/tests/platform_failure_test.cpp
@@ -200,6 +200,46 @@
   Reader->release();
 }
 
+// Guards against a platform that is down being taken for a missing document,
+// so that a revision comes in force a minute after the platform is back.
+TEST_CASE("a platform that is down does not abandon a manifest", "[platform]") {
+  Runner Running(2);
+  standin::Platform Platform(Running.Context, config::Endpoint{"127.0.0.1", 0});
+  std::map<std::string, std::string> Documents = {{"service/s", "text"}};
+  Platform.setValue("hickorycrank/manifest",
+                    config::formatManifest(base::Revision(2), Documents));
+  std::atomic<uint32_t> Abandoned{0};
+  std::atomic<uint32_t> Whole{0};
+  daemon::PlatformCallbacks Callbacks;
+  Callbacks.OnConfiguration = [&](const config::ConfigurationTexts &) {
+    ++Whole;
+  };
+  Callbacks.OnInstances = [](const net::InstanceList &) {};
+  std::atomic<bool> ManifestRead{false};
+  Callbacks.FindDocument = [&](const std::string &) {
+    ManifestRead = true;
+    return std::string();
+  };
+  Callbacks.OnAbandoned = [&](base::Revision) { ++Abandoned; };
+  auto Reader = std::make_shared<daemon::PlatformReader>(
+      Running.Context, std::vector<config::Endpoint>{Platform.endpoint()}, 1,
+      std::move(Callbacks),
+      daemon::DocumentRetries{std::chrono::milliseconds(50),
+                              std::chrono::minutes(1)});
+  Reader->start();
+  REQUIRE(eventually([&] { return ManifestRead.load(); }));
+  Platform.setFault(standin::PlatformFault::Down);
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  CHECK(Abandoned == 0);
+  Platform.publish(2, Documents);
+  Platform.setFault(standin::PlatformFault::None);
+  CHECK(eventually([&] { return Whole != 0; }, std::chrono::seconds(3)));
+  Reader->stop();
+  Platform.stop();
+  Running.join();
+  Reader->release();
+}
+
 // Guards against a configuration that reverts when a stale one is published.
 TEST_CASE("an older revision never replaces the one in force", "[platform]") {
   Loopback Cluster(1);
