Refuse TOML headers without a key before toml++ sees them

Cause: toml++ 3.3 asserts in parse_key when a table header does not begin with a key. The random documents hold "[\x03" as organisation/nube-rosa, which ended a Debug build; with GCC and NDEBUG the assertion is empty and toml++ reports an error. Every other call of parse_key is guarded.

Settings, manifests and documents are now parsed by one function that first looks for such a header, outside strings, comments and arrays, and reports bad_syntax with file and line.

Before: the fuzz cases in a Debug build end with SIGABRT.

--- a/src/config/document_func.cpp
+++ b/src/config/document_func.cpp
@@ -3,6 +3,7 @@
 #include "base/digest_func.h"
 #include "config/table_reader_base.h"
 #include "config/template_reader_func.h"
+#include "config/toml_func.h"
 
 #include <cmath>
 #include <limits>
@@ -18,27 +19,6 @@
 
 constexpr size_t DigestDigits = 64;
 
-/**
- * Parses TOML text.
- * @param Text Text to parse.
- * @param File Name shown in errors.
- * @param Errors Receives a syntax error.
- * @return The table; empty after an error.
- */
-toml::table parseTable(std::string_view Text, const std::string &File,
-                       std::vector<Error> &Errors) {
-  try {
-    return toml::parse(Text, File);
-  } catch (const toml::parse_error &Failure) {
-    std::ostringstream Message;
-    Message << File << ':' << Failure.source().begin.line
-            << ": not valid TOML: " << Failure.description()
-            << "; correct the syntax";
-    Errors.push_back({ErrorKind::BadSyntax, Message.str()});
-  }
-  return {};
-}
-
 /**
  * Reads a service document.
  * @param Table Its table.
@@ -198,7 +178,7 @@
                   std::vector<RawOrganisation> &Organisations,
                   std::vector<Error> &Errors) {
   size_t Before = Errors.size();
-  toml::table Table = parseTable(Text, Name, Errors);
+  toml::table Table = parseToml(Text, Name, Errors);
   if (Errors.size() != Before) {
     return;
   }
@@ -233,7 +213,7 @@
                  "manifest: exceeds 1 MB; publish fewer documents"};
   }
   std::vector<Error> Errors;
-  toml::table Table = parseTable(Text, "manifest", Errors);
+  toml::table Table = parseToml(Text, "manifest", Errors);
   Manifest Parsed;
   Parsed.Text = Text;
   Parsed.Sha256 = base::sha256Hex(Text);
--- a/src/config/settings_func.cpp
+++ b/src/config/settings_func.cpp
@@ -1,6 +1,7 @@
 #include "config/settings_func.h"
 
 #include "config/table_reader_base.h"
+#include "config/toml_func.h"
 
 #include <array>
 #include <boost/asio/ip/address.hpp>
@@ -105,15 +106,9 @@
 Settings parseSettings(std::string_view Text, const std::string &File,
                        std::vector<base::Error> &Errors) {
   Settings Parsed;
-  toml::table Table;
-  try {
-    Table = toml::parse(Text, File);
-  } catch (const toml::parse_error &Failure) {
-    std::ostringstream Message;
-    Message << File << ':' << Failure.source().begin.line
-            << ": not valid TOML: " << Failure.description()
-            << "; correct the syntax";
-    Errors.push_back({ErrorKind::BadSyntax, Message.str()});
+  size_t Before = Errors.size();
+  toml::table Table = parseToml(Text, File, Errors);
+  if (Errors.size() > Before) {
     return Parsed;
   }
   TableReader Reader(Table, File, "", Errors);
--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -3,6 +3,7 @@
 #include "config/binding_func.h"
 #include "config/document_func.h"
 #include "config/settings_func.h"
+#include "config/toml_func.h"
 #include "net/backend_codec_func.h"
 #include "net/url_func.h"
 #include "standin/deployment_base.h"
@@ -147,6 +148,61 @@
   }));
 }
 
+// Guards against a process that ends at an assertion of toml++ (parse_key) in a
+// build without NDEBUG, and against a check that refuses valid text. The random
+// documents with seed 20261204 hold "[\x03" as organisation/nube-rosa.
+TEST_CASE("a table header without a key is a syntax error", "[fuzz]") {
+  for (const char *Header : {"[.a]",
+                             "[",
+                             "[[",
+                             "[=",
+                             "[ .a]",
+                             "[[.a]]",
+                             "[[ ]]",
+                             "[\n]",
+                             "[#",
+                             "[{",
+                             "[\x03",
+                             "[]",
+                             "[ [a]]",
+                             "\t[.a]",
+                             "\xEF\xBB\xBF[.a]",
+                             "[a]\n[.b]",
+                             "a = \"[\" # [\n[.b]",
+                             "a = [\n1,\n]\r\n[.b]",
+                             "a = ''''''''\n[.b]",
+                             "a = \"\"\"\n\\\"\"\"\"\n[.b]",
+                             "a = '\\'\n[.b]"}) {
+    INFO(Header);
+    std::vector<base::Error> Errors;
+    config::parseSettings(Header, "f", Errors);
+    REQUIRE(Errors.size() == 1);
+    CHECK(Errors[0].Kind == base::ErrorKind::BadSyntax);
+    CHECK(Errors[0].Message.find("begin with a key") != std::string::npos);
+    CHECK(config::parseManifest(Header).has_error());
+  }
+  for (const char *Valid :
+       {"", "[a]", "[ \"a.b\" ]", "[['a']]", "[-]", "# [.a]", "\"[.\" = 1",
+        "a = [\n[ ],\n[\n{b = 1}]]", "a = '''\n[.b]\\'''",
+        "a = \"\"\"\n[.b]\n\"\"\"\"\"\n[c]", "a = \"\\\"\" # \"\n[b]"}) {
+    INFO(Valid);
+    CHECK_FALSE(config::findHeaderWithoutKey(Valid).has_value());
+    CHECK_NOTHROW(toml::parse(Valid));
+  }
+  std::vector<base::Error> Errors;
+  config::parseSettings("a = 1\n\n[.b]\n", "f", Errors);
+  REQUIRE(Errors.size() == 1);
+  CHECK(Errors[0].Message.rfind("f:3: ", 0) == 0);
+  auto Documents = exampleDocuments();
+  Documents.at("organisation/nube-rosa") = "[\x03";
+  Errors.clear();
+  CHECK(config::buildConfiguration(
+            config::assembleTexts(base::Revision(1), Documents), Errors) ==
+        nullptr);
+  REQUIRE(Errors.size() == 1);
+  CHECK(Errors[0].Message.rfind("organisation/nube-rosa:1: ", 0) == 0);
+}
+
 // Guards against a configuration that is built although a document of it has
 // an error, and against a crash on what an operator published.
 TEST_CASE("documents are built whole or refused with errors", "[fuzz]") {
