--- a/src/daemon/admin_api_func.cpp
+++ b/src/daemon/admin_api_func.cpp
@@ -118,6 +118,7 @@
       {"stale_process_total", Status.Node.StaleProcess},
       {"facts_learnt_total", Status.Node.FactsLearnt},
       {"configuration_pulls_total", Status.Node.Pulls},
+      {"server_list_pulls_total", Status.Node.ServerPulls},
       {"facts", Status.Facts},
       {"connections", Status.Connections},
       {"reader", Status.Reader ? 1 : 0},
--- a/src/daemon/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -114,6 +114,12 @@
         auto Self = Weak.lock();
         return !Self || Self->onTexts(Texts);
       };
+  Callbacks.OnServers =
+      [Weak = this->weak_from_this()](const peers::ServerList &List) {
+        if (auto Self = Weak.lock()) {
+          Self->Serving.applyPeerServers(List);
+        }
+      };
   Callbacks.OnConflict =
       [Weak = this->weak_from_this()](const base::InstanceId &) {
         if (auto Self = Weak.lock()) {
--- a/src/daemon/peer_node.cpp
+++ b/src/daemon/peer_node.cpp
@@ -101,7 +101,12 @@
 
 void PeerNode::applyInstances(const net::InstanceList &List) {
   std::vector<peers::Member> Entries;
+  peers::ServerList Servers;
+  Servers.Version = List.Version;
   for (const net::InstanceListing &Listing : List.Entries) {
+    if (Listing.Kind == "backend") {
+      Servers.Servers.push_back({Listing.Service, Listing.Server});
+    }
     if (Listing.Kind != "entry" || Listing.Server.Leaving) {
       continue;
     }
@@ -111,8 +116,10 @@
     Entry.Domain = Listing.Server.Domain;
     Entries.push_back(std::move(Entry));
   }
+  Servers.Instances = static_cast<uint32_t>(Entries.size());
   std::lock_guard Lock(this->Mutex);
   this->Node.onListing(Clock::now(), Entries);
+  this->Node.onServers(std::move(Servers));
 }
 
 void PeerNode::onPlatformRead() {
@@ -159,6 +166,8 @@
       this->Callbacks.OnFact(Apply->Fact);
     } else if (auto *Offer = std::get_if<peers::OfferConfiguration>(&Step)) {
       this->offer(*Offer);
+    } else if (const auto *Servers = std::get_if<peers::OfferServers>(&Step)) {
+      this->Callbacks.OnServers(Servers->List);
     } else if (const auto *Report = std::get_if<peers::ReportConflict>(&Step)) {
       this->Callbacks.OnConflict(Report->Peer);
     } else if (const auto *Asked = std::get_if<peers::DeliverCall>(&Step)) {
--- a/src/daemon/peer_node_base.h
+++ b/src/daemon/peer_node_base.h
@@ -26,6 +26,8 @@
   std::function<void(const query::PublishFact &)> OnFact;
   /** A configuration from another instance; returns whether it is valid. */
   std::function<bool(const config::ConfigurationTexts &)> OnConfiguration;
+  /** A list of backend servers from another instance. */
+  std::function<void(const peers::ServerList &)> OnServers;
   /** Another instance has other content under the revision in force. */
   std::function<void(const base::InstanceId &)> OnConflict;
 };
--- a/src/daemon/tier.cpp
+++ b/src/daemon/tier.cpp
@@ -17,7 +17,6 @@
 config::Acceptance
 Tier::offerConfiguration(std::shared_ptr<const config::Configuration> Offered) {
   std::vector<std::pair<std::shared_ptr<ServiceShard>, uint32_t>> Shares;
-  net::InstanceList Known;
   config::Acceptance Verdict{};
   {
     std::lock_guard Lock(this->Mutex);
@@ -52,12 +51,12 @@
                                                          Doc->PlannedInstances,
                                                          this->Instances));
     }
-    Known = this->Listed;
   }
   for (const auto &[Shard, Share] : Shares) {
     Shard->setConnectionShare(Share);
   }
-  this->applyInstances(Known);
+  std::lock_guard ListLock(this->ListMutex);
+  this->distributeList();
   return Verdict;
 }
 
@@ -75,6 +74,41 @@
 }
 
 void Tier::applyInstances(const net::InstanceList &List) {
+  peers::ServerList Given;
+  Given.Version = List.Version;
+  for (const net::InstanceListing &Entry : List.Entries) {
+    if (Entry.Kind == "backend") {
+      Given.Servers.push_back({Entry.Service, Entry.Server});
+    } else if (Entry.Kind == "entry" && !Entry.Server.Leaving) {
+      ++Given.Instances;
+    }
+  }
+  std::lock_guard ListLock(this->ListMutex);
+  {
+    std::lock_guard Lock(this->Mutex);
+    bool Stale = this->ListedByPlatform && Given.Version < this->Listed.Version;
+    if (Given.Version == 0 || Stale) {
+      return; // Nothing is listed, or a stale replica answered.
+    }
+    this->ListedByPlatform = true;
+    this->Listed = std::move(Given);
+  }
+  this->distributeList();
+}
+
+void Tier::applyPeerServers(const peers::ServerList &List) {
+  std::lock_guard ListLock(this->ListMutex);
+  {
+    std::lock_guard Lock(this->Mutex);
+    if (this->ListedByPlatform || List.Version <= this->Listed.Version) {
+      return;
+    }
+    this->Listed = List;
+  }
+  this->distributeList();
+}
+
+void Tier::distributeList() {
   struct Update {
     std::shared_ptr<ServiceShard> Shard;
     std::vector<routing::ServerListing> Servers;
@@ -83,21 +117,16 @@
   std::vector<Update> Updates;
   {
     std::lock_guard Lock(this->Mutex);
-    if (List.Version < this->Listed.Version) {
-      return; // A stale replica of the platform answered.
+    limits::recordInstances(this->Instances, Clock::now(),
+                            std::max(this->Listed.Instances, 1U));
+    if (this->Listed.Version == 0) {
+      return; // Nothing has been listed yet.
     }
-    this->Listed = List;
-    auto IsLiveEntry = [](const net::InstanceListing &Entry) {
-      return Entry.Kind == "entry" && !Entry.Server.Leaving;
-    };
-    auto Live = static_cast<uint32_t>(
-        std::count_if(List.Entries.begin(), List.Entries.end(), IsLiveEntry));
-    limits::recordInstances(this->Instances, Clock::now(), std::max(Live, 1U));
     for (const auto &[Id, Shard] : this->Shards) {
       Update Entry;
       Entry.Shard = Shard;
-      for (const net::InstanceListing &Listing : List.Entries) {
-        if (Listing.Kind == "backend" && Listing.Service == Id) {
+      for (const peers::ServerEntry &Listing : this->Listed.Servers) {
+        if (Listing.Service == Id) {
           Entry.Servers.push_back(Listing.Server);
         }
       }
@@ -110,9 +139,6 @@
       Updates.push_back(std::move(Entry));
     }
   }
-  if (List.Version == 0) {
-    return; // Nothing has been listed yet.
-  }
   for (const Update &Entry : Updates) {
     Entry.Shard->setConnectionShare(Entry.Share);
     Entry.Shard->applyList(Entry.Servers);
--- a/src/daemon/tier_base.h
+++ b/src/daemon/tier_base.h
@@ -9,6 +9,7 @@
 #include "limits/connection_share_func.h"
 #include "metrics/registry_base.h"
 #include "net/backend_codec_func.h"
+#include "peers/server_list_type.h"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -59,6 +60,13 @@
   /** Takes the platform's list. @param List Live and leaving instances. */
   void applyInstances(const net::InstanceList &List);
 
+  /**
+   * Takes the backend servers from a peer's list; ignored once the platform
+   * has given its own.
+   * @param List The list.
+   */
+  void applyPeerServers(const peers::ServerList &List);
+
   /**
    * Finds the shard of a service.
    * @param Service The service.
@@ -92,16 +100,22 @@
   std::atomic<Readiness> State{Readiness::Starting};
 
 private:
+  /** Gives the list held to the shards, which take only whole lists. */
+  void distributeList();
   std::vector<std::shared_ptr<ServiceShard>> shards() const;
 
   boost::asio::io_context &Context;
   config::Settings Own;
   ServiceShard::FactCallback OnFact;
   metrics::Registry Metrics;
+  /** Held while a list goes to the shards, so that none overtakes a later
+   * one. Locked before Mutex. */
+  std::mutex ListMutex;
   mutable std::mutex Mutex; ///< Guards the members below.
   std::shared_ptr<const config::Configuration> InForce;
   std::map<base::ServiceId, std::shared_ptr<ServiceShard>> Shards;
-  net::InstanceList Listed;
+  peers::ServerList Listed;
+  bool ListedByPlatform = false;
   limits::InstanceCounts Instances;
 };
 
--- a/src/gen/peer_types.cpp
+++ b/src/gen/peer_types.cpp
@@ -1551,6 +1551,620 @@
 }
 
 
+ListedServer::~ListedServer() noexcept {
+}
+
+
+void ListedServer::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void ListedServer::__set_serviceIndex(const int32_t val) {
+  this->serviceIndex = val;
+}
+
+void ListedServer::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void ListedServer::__set_domainIndex(const int32_t val) {
+  this->domainIndex = val;
+}
+
+void ListedServer::__set_process(const int64_t val) {
+  this->process = val;
+}
+
+void ListedServer::__set_leaving(const bool val) {
+  this->leaving = val;
+__isset.leaving = true;
+}
+std::ostream& operator<<(std::ostream& out, const ListedServer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ListedServer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_id = false;
+  bool isset_serviceIndex = false;
+  bool isset_address = false;
+  bool isset_domainIndex = false;
+  bool isset_process = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->serviceIndex);
+          isset_serviceIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          isset_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->domainIndex);
+          isset_domainIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          isset_process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_serviceIndex)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_address)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_domainIndex)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_process)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ListedServer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ListedServer");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceIndex", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->serviceIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("domainIndex", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->domainIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.leaving) {
+    xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->leaving);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ListedServer &a, ListedServer &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.serviceIndex, b.serviceIndex);
+  swap(a.address, b.address);
+  swap(a.domainIndex, b.domainIndex);
+  swap(a.process, b.process);
+  swap(a.leaving, b.leaving);
+  swap(a.__isset, b.__isset);
+}
+
+ListedServer::ListedServer(const ListedServer& other36) {
+  id = other36.id;
+  serviceIndex = other36.serviceIndex;
+  address = other36.address;
+  domainIndex = other36.domainIndex;
+  process = other36.process;
+  leaving = other36.leaving;
+  __isset = other36.__isset;
+}
+ListedServer& ListedServer::operator=(const ListedServer& other37) {
+  id = other37.id;
+  serviceIndex = other37.serviceIndex;
+  address = other37.address;
+  domainIndex = other37.domainIndex;
+  process = other37.process;
+  leaving = other37.leaving;
+  __isset = other37.__isset;
+  return *this;
+}
+void ListedServer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ListedServer(";
+  out << "id=" << to_string(id);
+  out << ", " << "serviceIndex=" << to_string(serviceIndex);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "domainIndex=" << to_string(domainIndex);
+  out << ", " << "process=" << to_string(process);
+  out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ServerPullBody::~ServerPullBody() noexcept {
+}
+
+
+void ServerPullBody::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void ServerPullBody::__set_first(const int32_t val) {
+  this->first = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerPullBody& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerPullBody::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_version = false;
+  bool isset_first = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          isset_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->first);
+          isset_first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_first)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ServerPullBody::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerPullBody");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->first);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerPullBody &a, ServerPullBody &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.first, b.first);
+}
+
+ServerPullBody::ServerPullBody(const ServerPullBody& other38) noexcept {
+  version = other38.version;
+  first = other38.first;
+}
+ServerPullBody& ServerPullBody::operator=(const ServerPullBody& other39) noexcept {
+  version = other39.version;
+  first = other39.first;
+  return *this;
+}
+void ServerPullBody::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerPullBody(";
+  out << "version=" << to_string(version);
+  out << ", " << "first=" << to_string(first);
+  out << ")";
+}
+
+
+ServerPushBody::~ServerPushBody() noexcept {
+}
+
+
+void ServerPushBody::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void ServerPushBody::__set_instances(const int32_t val) {
+  this->instances = val;
+}
+
+void ServerPushBody::__set_total(const int32_t val) {
+  this->total = val;
+}
+
+void ServerPushBody::__set_first(const int32_t val) {
+  this->first = val;
+}
+
+void ServerPushBody::__set_services(const std::vector<std::string> & val) {
+  this->services = val;
+}
+
+void ServerPushBody::__set_domains(const std::vector<std::string> & val) {
+  this->domains = val;
+}
+
+void ServerPushBody::__set_servers(const std::vector<ListedServer> & val) {
+  this->servers = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerPushBody& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerPushBody::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_version = false;
+  bool isset_instances = false;
+  bool isset_total = false;
+  bool isset_first = false;
+  bool isset_services = false;
+  bool isset_domains = false;
+  bool isset_servers = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          isset_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->instances);
+          isset_instances = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->total);
+          isset_total = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->first);
+          isset_first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->services.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
+            {
+              xfer += iprot->readString(this->services[_i44]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->domains.clear();
+            uint32_t _size45;
+            ::apache::thrift::protocol::TType _etype48;
+            xfer += iprot->readListBegin(_etype48, _size45);
+            this->domains.resize(_size45);
+            uint32_t _i49;
+            for (_i49 = 0; _i49 < _size45; ++_i49)
+            {
+              xfer += iprot->readString(this->domains[_i49]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_domains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->servers.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
+            {
+              xfer += this->servers[_i54].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_instances)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_total)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_first)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_services)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_domains)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_servers)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ServerPushBody::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerPushBody");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->instances);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("total", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->total);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->first);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
+    std::vector<std::string> ::const_iterator _iter55;
+    for (_iter55 = this->services.begin(); _iter55 != this->services.end(); ++_iter55)
+    {
+      xfer += oprot->writeString((*_iter55));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
+    std::vector<std::string> ::const_iterator _iter56;
+    for (_iter56 = this->domains.begin(); _iter56 != this->domains.end(); ++_iter56)
+    {
+      xfer += oprot->writeString((*_iter56));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
+    std::vector<ListedServer> ::const_iterator _iter57;
+    for (_iter57 = this->servers.begin(); _iter57 != this->servers.end(); ++_iter57)
+    {
+      xfer += (*_iter57).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerPushBody &a, ServerPushBody &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.instances, b.instances);
+  swap(a.total, b.total);
+  swap(a.first, b.first);
+  swap(a.services, b.services);
+  swap(a.domains, b.domains);
+  swap(a.servers, b.servers);
+}
+
+ServerPushBody::ServerPushBody(const ServerPushBody& other58) {
+  version = other58.version;
+  instances = other58.instances;
+  total = other58.total;
+  first = other58.first;
+  services = other58.services;
+  domains = other58.domains;
+  servers = other58.servers;
+}
+ServerPushBody& ServerPushBody::operator=(const ServerPushBody& other59) {
+  version = other59.version;
+  instances = other59.instances;
+  total = other59.total;
+  first = other59.first;
+  services = other59.services;
+  domains = other59.domains;
+  servers = other59.servers;
+  return *this;
+}
+void ServerPushBody::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerPushBody(";
+  out << "version=" << to_string(version);
+  out << ", " << "instances=" << to_string(instances);
+  out << ", " << "total=" << to_string(total);
+  out << ", " << "first=" << to_string(first);
+  out << ", " << "services=" << to_string(services);
+  out << ", " << "domains=" << to_string(domains);
+  out << ", " << "servers=" << to_string(servers);
+  out << ")";
+}
+
+
 PeerBody::~PeerBody() noexcept {
 }
 
@@ -1599,6 +2213,16 @@
   this->leave = val;
 __isset.leave = true;
 }
+
+void PeerBody::__set_serverPull(const ServerPullBody& val) {
+  this->serverPull = val;
+__isset.serverPull = true;
+}
+
+void PeerBody::__set_serverPush(const ServerPushBody& val) {
+  this->serverPush = val;
+__isset.serverPush = true;
+}
 std::ostream& operator<<(std::ostream& out, const PeerBody& obj)
 {
   obj.printTo(out);
@@ -1699,6 +2323,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->serverPull.read(iprot);
+          this->__isset.serverPull = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->serverPush.read(iprot);
+          this->__isset.serverPush = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1761,6 +2401,16 @@
     xfer += this->leave.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.serverPull) {
+    xfer += oprot->writeFieldBegin("serverPull", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->serverPull.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.serverPush) {
+    xfer += oprot->writeFieldBegin("serverPush", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->serverPush.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1777,32 +2427,38 @@
   swap(a.forwardOnce, b.forwardOnce);
   swap(a.forwardOnceReply, b.forwardOnceReply);
   swap(a.leave, b.leave);
+  swap(a.serverPull, b.serverPull);
+  swap(a.serverPush, b.serverPush);
   swap(a.__isset, b.__isset);
 }
 
-PeerBody::PeerBody(const PeerBody& other36) {
-  ping = other36.ping;
-  ack = other36.ack;
-  pingRequest = other36.pingRequest;
-  facts = other36.facts;
-  configPull = other36.configPull;
-  configPush = other36.configPush;
-  forwardOnce = other36.forwardOnce;
-  forwardOnceReply = other36.forwardOnceReply;
-  leave = other36.leave;
-  __isset = other36.__isset;
-}
-PeerBody& PeerBody::operator=(const PeerBody& other37) {
-  ping = other37.ping;
-  ack = other37.ack;
-  pingRequest = other37.pingRequest;
-  facts = other37.facts;
-  configPull = other37.configPull;
-  configPush = other37.configPush;
-  forwardOnce = other37.forwardOnce;
-  forwardOnceReply = other37.forwardOnceReply;
-  leave = other37.leave;
-  __isset = other37.__isset;
+PeerBody::PeerBody(const PeerBody& other60) {
+  ping = other60.ping;
+  ack = other60.ack;
+  pingRequest = other60.pingRequest;
+  facts = other60.facts;
+  configPull = other60.configPull;
+  configPush = other60.configPush;
+  forwardOnce = other60.forwardOnce;
+  forwardOnceReply = other60.forwardOnceReply;
+  leave = other60.leave;
+  serverPull = other60.serverPull;
+  serverPush = other60.serverPush;
+  __isset = other60.__isset;
+}
+PeerBody& PeerBody::operator=(const PeerBody& other61) {
+  ping = other61.ping;
+  ack = other61.ack;
+  pingRequest = other61.pingRequest;
+  facts = other61.facts;
+  configPull = other61.configPull;
+  configPush = other61.configPush;
+  forwardOnce = other61.forwardOnce;
+  forwardOnceReply = other61.forwardOnceReply;
+  leave = other61.leave;
+  serverPull = other61.serverPull;
+  serverPush = other61.serverPush;
+  __isset = other61.__isset;
   return *this;
 }
 void PeerBody::printTo(std::ostream& out) const {
@@ -1817,6 +2473,8 @@
   out << ", " << "forwardOnce="; (__isset.forwardOnce ? (out << to_string(forwardOnce)) : (out << "<null>"));
   out << ", " << "forwardOnceReply="; (__isset.forwardOnceReply ? (out << to_string(forwardOnceReply)) : (out << "<null>"));
   out << ", " << "leave="; (__isset.leave ? (out << to_string(leave)) : (out << "<null>"));
+  out << ", " << "serverPull="; (__isset.serverPull ? (out << to_string(serverPull)) : (out << "<null>"));
+  out << ", " << "serverPush="; (__isset.serverPush ? (out << to_string(serverPush)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1864,6 +2522,11 @@
 void PeerFrame::__set_body(const PeerBody& val) {
   this->body = val;
 }
+
+void PeerFrame::__set_servers(const int64_t val) {
+  this->servers = val;
+__isset.servers = true;
+}
 std::ostream& operator<<(std::ostream& out, const PeerFrame& obj)
 {
   obj.printTo(out);
@@ -1949,14 +2612,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->members.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->members.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->members[_i42].read(iprot);
+              xfer += this->members[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1969,14 +2632,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->facts.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->facts.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->facts.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += this->facts[_i47].read(iprot);
+              xfer += this->facts[_i71].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1993,6 +2656,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->servers);
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2050,10 +2721,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<PeerMember> ::const_iterator _iter48;
-      for (_iter48 = this->members.begin(); _iter48 != this->members.end(); ++_iter48)
+      std::vector<PeerMember> ::const_iterator _iter72;
+      for (_iter72 = this->members.begin(); _iter72 != this->members.end(); ++_iter72)
       {
-        xfer += (*_iter48).write(oprot);
+        xfer += (*_iter72).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2063,10 +2734,10 @@
     xfer += oprot->writeFieldBegin("facts", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->facts.size()));
-      std::vector<Fact> ::const_iterator _iter49;
-      for (_iter49 = this->facts.begin(); _iter49 != this->facts.end(); ++_iter49)
+      std::vector<Fact> ::const_iterator _iter73;
+      for (_iter73 = this->facts.begin(); _iter73 != this->facts.end(); ++_iter73)
       {
-        xfer += (*_iter49).write(oprot);
+        xfer += (*_iter73).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2076,6 +2747,11 @@
   xfer += this->body.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.servers) {
+    xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->servers);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2092,32 +2768,35 @@
   swap(a.members, b.members);
   swap(a.facts, b.facts);
   swap(a.body, b.body);
+  swap(a.servers, b.servers);
   swap(a.__isset, b.__isset);
 }
 
-PeerFrame::PeerFrame(const PeerFrame& other50) {
-  protocol = other50.protocol;
-  compatible = other50.compatible;
-  sender = other50.sender;
-  recipient = other50.recipient;
-  ready = other50.ready;
-  shown = other50.shown;
-  members = other50.members;
-  facts = other50.facts;
-  body = other50.body;
-  __isset = other50.__isset;
-}
-PeerFrame& PeerFrame::operator=(const PeerFrame& other51) {
-  protocol = other51.protocol;
-  compatible = other51.compatible;
-  sender = other51.sender;
-  recipient = other51.recipient;
-  ready = other51.ready;
-  shown = other51.shown;
-  members = other51.members;
-  facts = other51.facts;
-  body = other51.body;
-  __isset = other51.__isset;
+PeerFrame::PeerFrame(const PeerFrame& other74) {
+  protocol = other74.protocol;
+  compatible = other74.compatible;
+  sender = other74.sender;
+  recipient = other74.recipient;
+  ready = other74.ready;
+  shown = other74.shown;
+  members = other74.members;
+  facts = other74.facts;
+  body = other74.body;
+  servers = other74.servers;
+  __isset = other74.__isset;
+}
+PeerFrame& PeerFrame::operator=(const PeerFrame& other75) {
+  protocol = other75.protocol;
+  compatible = other75.compatible;
+  sender = other75.sender;
+  recipient = other75.recipient;
+  ready = other75.ready;
+  shown = other75.shown;
+  members = other75.members;
+  facts = other75.facts;
+  body = other75.body;
+  servers = other75.servers;
+  __isset = other75.__isset;
   return *this;
 }
 void PeerFrame::printTo(std::ostream& out) const {
@@ -2132,6 +2811,7 @@
   out << ", " << "members="; (__isset.members ? (out << to_string(members)) : (out << "<null>"));
   out << ", " << "facts="; (__isset.facts ? (out << to_string(facts)) : (out << "<null>"));
   out << ", " << "body=" << to_string(body);
+  out << ", " << "servers="; (__isset.servers ? (out << to_string(servers)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/peer_types.h
+++ b/src/gen/peer_types.h
@@ -45,6 +45,12 @@
 
 class LeaveBody;
 
+class ListedServer;
+
+class ServerPullBody;
+
+class ServerPushBody;
+
 class PeerBody;
 
 class PeerFrame;
@@ -621,8 +627,196 @@
 
 std::ostream& operator<<(std::ostream& out, const LeaveBody& obj);
 
+typedef struct _ListedServer__isset {
+  _ListedServer__isset() : leaving(false) {}
+  bool leaving :1;
+} _ListedServer__isset;
+
+class ListedServer : public virtual ::apache::thrift::TBase {
+ public:
+
+  ListedServer(const ListedServer&);
+  ListedServer& operator=(const ListedServer&);
+  ListedServer() noexcept
+               : id(),
+                 serviceIndex(0),
+                 address(),
+                 domainIndex(0),
+                 process(0),
+                 leaving(0) {
+  }
+
+  virtual ~ListedServer() noexcept;
+  std::string id;
+  int32_t serviceIndex;
+  std::string address;
+  int32_t domainIndex;
+  int64_t process;
+  bool leaving;
+
+  _ListedServer__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_serviceIndex(const int32_t val);
+
+  void __set_address(const std::string& val);
+
+  void __set_domainIndex(const int32_t val);
+
+  void __set_process(const int64_t val);
+
+  void __set_leaving(const bool val);
+
+  bool operator == (const ListedServer & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(serviceIndex == rhs.serviceIndex))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(domainIndex == rhs.domainIndex))
+      return false;
+    if (!(process == rhs.process))
+      return false;
+    if (__isset.leaving != rhs.__isset.leaving)
+      return false;
+    else if (__isset.leaving && !(leaving == rhs.leaving))
+      return false;
+    return true;
+  }
+  bool operator != (const ListedServer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ListedServer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ListedServer &a, ListedServer &b);
+
+std::ostream& operator<<(std::ostream& out, const ListedServer& obj);
+
+
+class ServerPullBody : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerPullBody(const ServerPullBody&) noexcept;
+  ServerPullBody& operator=(const ServerPullBody&) noexcept;
+  ServerPullBody() noexcept
+                 : version(0),
+                   first(0) {
+  }
+
+  virtual ~ServerPullBody() noexcept;
+  int64_t version;
+  int32_t first;
+
+  void __set_version(const int64_t val);
+
+  void __set_first(const int32_t val);
+
+  bool operator == (const ServerPullBody & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(first == rhs.first))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerPullBody &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerPullBody & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerPullBody &a, ServerPullBody &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerPullBody& obj);
+
+
+class ServerPushBody : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerPushBody(const ServerPushBody&);
+  ServerPushBody& operator=(const ServerPushBody&);
+  ServerPushBody() noexcept
+                 : version(0),
+                   instances(0),
+                   total(0),
+                   first(0) {
+  }
+
+  virtual ~ServerPushBody() noexcept;
+  int64_t version;
+  int32_t instances;
+  int32_t total;
+  int32_t first;
+  std::vector<std::string>  services;
+  std::vector<std::string>  domains;
+  std::vector<ListedServer>  servers;
+
+  void __set_version(const int64_t val);
+
+  void __set_instances(const int32_t val);
+
+  void __set_total(const int32_t val);
+
+  void __set_first(const int32_t val);
+
+  void __set_services(const std::vector<std::string> & val);
+
+  void __set_domains(const std::vector<std::string> & val);
+
+  void __set_servers(const std::vector<ListedServer> & val);
+
+  bool operator == (const ServerPushBody & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(instances == rhs.instances))
+      return false;
+    if (!(total == rhs.total))
+      return false;
+    if (!(first == rhs.first))
+      return false;
+    if (!(services == rhs.services))
+      return false;
+    if (!(domains == rhs.domains))
+      return false;
+    if (!(servers == rhs.servers))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerPushBody &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerPushBody & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerPushBody &a, ServerPushBody &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerPushBody& obj);
+
 typedef struct _PeerBody__isset {
-  _PeerBody__isset() : ping(false), ack(false), pingRequest(false), facts(false), configPull(false), configPush(false), forwardOnce(false), forwardOnceReply(false), leave(false) {}
+  _PeerBody__isset() : ping(false), ack(false), pingRequest(false), facts(false), configPull(false), configPush(false), forwardOnce(false), forwardOnceReply(false), leave(false), serverPull(false), serverPush(false) {}
   bool ping :1;
   bool ack :1;
   bool pingRequest :1;
@@ -632,6 +826,8 @@
   bool forwardOnce :1;
   bool forwardOnceReply :1;
   bool leave :1;
+  bool serverPull :1;
+  bool serverPush :1;
 } _PeerBody__isset;
 
 class PeerBody : public virtual ::apache::thrift::TBase {
@@ -652,6 +848,8 @@
   ForwardOnceBody forwardOnce;
   ForwardOnceReplyBody forwardOnceReply;
   LeaveBody leave;
+  ServerPullBody serverPull;
+  ServerPushBody serverPush;
 
   _PeerBody__isset __isset;
 
@@ -673,6 +871,10 @@
 
   void __set_leave(const LeaveBody& val);
 
+  void __set_serverPull(const ServerPullBody& val);
+
+  void __set_serverPush(const ServerPushBody& val);
+
   bool operator == (const PeerBody & rhs) const
   {
     if (__isset.ping != rhs.__isset.ping)
@@ -711,6 +913,14 @@
       return false;
     else if (__isset.leave && !(leave == rhs.leave))
       return false;
+    if (__isset.serverPull != rhs.__isset.serverPull)
+      return false;
+    else if (__isset.serverPull && !(serverPull == rhs.serverPull))
+      return false;
+    if (__isset.serverPush != rhs.__isset.serverPush)
+      return false;
+    else if (__isset.serverPush && !(serverPush == rhs.serverPush))
+      return false;
     return true;
   }
   bool operator != (const PeerBody &rhs) const {
@@ -730,11 +940,12 @@
 std::ostream& operator<<(std::ostream& out, const PeerBody& obj);
 
 typedef struct _PeerFrame__isset {
-  _PeerFrame__isset() : ready(false), shown(false), members(false), facts(false) {}
+  _PeerFrame__isset() : ready(false), shown(false), members(false), facts(false), servers(false) {}
   bool ready :1;
   bool shown :1;
   bool members :1;
   bool facts :1;
+  bool servers :1;
 } _PeerFrame__isset;
 
 class PeerFrame : public virtual ::apache::thrift::TBase {
@@ -746,7 +957,8 @@
             : protocol(0),
               compatible(0),
               recipient(),
-              ready(0) {
+              ready(0),
+              servers(0) {
   }
 
   virtual ~PeerFrame() noexcept;
@@ -759,6 +971,7 @@
   std::vector<PeerMember>  members;
   std::vector<Fact>  facts;
   PeerBody body;
+  int64_t servers;
 
   _PeerFrame__isset __isset;
 
@@ -780,6 +993,8 @@
 
   void __set_body(const PeerBody& val);
 
+  void __set_servers(const int64_t val);
+
   bool operator == (const PeerFrame & rhs) const
   {
     if (!(protocol == rhs.protocol))
@@ -808,6 +1023,10 @@
       return false;
     if (!(body == rhs.body))
       return false;
+    if (__isset.servers != rhs.__isset.servers)
+      return false;
+    else if (__isset.servers && !(servers == rhs.servers))
+      return false;
     return true;
   }
   bool operator != (const PeerFrame &rhs) const {
--- a/src/net/peer_codec_func.cpp
+++ b/src/net/peer_codec_func.cpp
@@ -1,6 +1,7 @@
 #include "net/peer_codec_func.h"
 
 #include "base/digest_func.h"
+#include "peers/server_spread_base.h"
 
 #include <algorithm>
 #include <limits>
@@ -159,6 +160,87 @@
   return Facts;
 }
 
+/**
+ * Finds a name in a list of names, or adds it.
+ * @param Names The list; a part of a server list has few.
+ * @param Name The name.
+ * @return Its position.
+ */
+int32_t positionOf(std::vector<std::string> &Names, const std::string &Name) {
+  auto Found = std::find(Names.begin(), Names.end(), Name);
+  auto Position = static_cast<int32_t>(Found - Names.begin());
+  if (Found == Names.end()) {
+    Names.push_back(Name);
+  }
+  return Position;
+}
+
+/** Checks a position and returns the name there, which may be empty. */
+const std::string &nameAt(const std::vector<std::string> &Names,
+                          int32_t Position) {
+  if (Position < 0 || static_cast<size_t>(Position) >= Names.size()) {
+    throw BadField("position");
+  }
+  const std::string &Name = Names[static_cast<size_t>(Position)];
+  if (Name.size() > MaxNameBytes) {
+    throw BadField("name");
+  }
+  return Name;
+}
+
+/** Checks and returns a count or position in a list of servers. */
+uint32_t readListCount(int32_t Wire) {
+  if (Wire < 0 || static_cast<uint32_t>(Wire) > peers::MaxListedServers) {
+    throw BadField("server list");
+  }
+  return static_cast<uint32_t>(Wire);
+}
+
+gen::ServerPushBody writeServers(const peers::ServerPush &Source) {
+  gen::ServerPushBody Wire;
+  Wire.version = toWire(Source.Version);
+  Wire.instances = static_cast<int32_t>(Source.Instances);
+  Wire.total = static_cast<int32_t>(Source.Total);
+  Wire.first = static_cast<int32_t>(Source.First);
+  for (const peers::ServerEntry &Entry : Source.Servers) {
+    gen::ListedServer Listed;
+    Listed.id = Entry.Server.Server.Value;
+    Listed.serviceIndex = positionOf(Wire.services, Entry.Service.Value);
+    Listed.address = Entry.Server.Address;
+    Listed.domainIndex = positionOf(Wire.domains, Entry.Server.Domain.Value);
+    Listed.process = toWire(Entry.Server.Process.Value);
+    if (Entry.Server.Leaving) {
+      Listed.__set_leaving(true);
+    }
+    Wire.servers.push_back(std::move(Listed));
+  }
+  return Wire;
+}
+
+peers::ServerPush readServers(const gen::ServerPushBody &Wire) {
+  if (Wire.servers.size() > peers::MaxPushServers) {
+    throw BadField("servers");
+  }
+  peers::ServerPush Push;
+  Push.Version = fromWire(Wire.version);
+  Push.Instances = readListCount(Wire.instances);
+  Push.Total = readListCount(Wire.total);
+  Push.First = readListCount(Wire.first);
+  for (const gen::ListedServer &Listed : Wire.servers) {
+    peers::ServerEntry Entry;
+    Entry.Service =
+        base::ServiceId(readName(nameAt(Wire.services, Listed.serviceIndex)));
+    Entry.Server.Server = base::ServerId(readName(Listed.id));
+    Entry.Server.Address = readName(Listed.address);
+    Entry.Server.Domain =
+        base::FailureDomainId(nameAt(Wire.domains, Listed.domainIndex));
+    Entry.Server.Process = base::Incarnation(fromWire(Listed.process));
+    Entry.Server.Leaving = Listed.leaving;
+    Push.Servers.push_back(std::move(Entry));
+  }
+  return Push;
+}
+
 /** Writes the body of a message, one overload a kind. */
 struct BodyWriter {
   gen::PeerBody &Wire;
@@ -221,6 +303,15 @@
   void operator()(const peers::Leave & /*Source*/) const {
     this->Wire.__set_leave(gen::LeaveBody());
   }
+  void operator()(const peers::ServerPull &Source) const {
+    gen::ServerPullBody Target;
+    Target.version = toWire(Source.Version);
+    Target.first = static_cast<int32_t>(Source.First);
+    this->Wire.__set_serverPull(Target);
+  }
+  void operator()(const peers::ServerPush &Source) const {
+    this->Wire.__set_serverPush(writeServers(Source));
+  }
 };
 
 /** Reads the bodies that concern configurations. */
@@ -277,6 +368,13 @@
   if (Wire.__isset.leave) {
     return peers::Leave{};
   }
+  if (Wire.__isset.serverPull) {
+    return peers::ServerPull{fromWire(Wire.serverPull.version),
+                             readListCount(Wire.serverPull.first)};
+  }
+  if (Wire.__isset.serverPush) {
+    return readServers(Wire.serverPush);
+  }
   return peers::Facts{};
 }
 
@@ -292,6 +390,9 @@
   if (Wire.__isset.shown) {
     Message.Shown = readVersion(Wire.shown);
   }
+  if (Wire.__isset.servers) {
+    Message.ShownServers = fromWire(Wire.servers);
+  }
   for (const gen::PeerMember &Entry : Wire.members) {
     Message.Members.push_back(readMember(Entry));
   }
@@ -315,6 +416,9 @@
   if (Message.Shown.Number.Value != 0) {
     Wire.__set_shown(writeVersion(Message.Shown));
   }
+  if (Message.ShownServers != 0) {
+    Wire.__set_servers(toWire(Message.ShownServers));
+  }
   for (const peers::Member &Entry : Message.Members) {
     Wire.members.push_back(writeMember(Entry));
   }
--- a/src/peers/fact_store.cpp
+++ b/src/peers/fact_store.cpp
@@ -68,6 +68,18 @@
   return Taken;
 }
 
+std::vector<query::PublishFact> FactStore::held(base::TimePoint Now,
+                                                query::FactKind Kind) const {
+  std::vector<query::PublishFact> Found;
+  for (const auto &[Name, Held] : this->Facts) {
+    if (Held.Fact.Kind == Kind && Held.Expiry > Now) {
+      Found.push_back(Held.Fact);
+      Found.back().Lifetime = Held.Expiry - Now;
+    }
+  }
+  return Found;
+}
+
 void FactStore::renew(uint32_t Transmissions) {
   for (auto &[Name, Held] : this->Facts) {
     Held.Remaining = std::max(Held.Remaining, Transmissions);
--- a/src/peers/fact_store_base.h
+++ b/src/peers/fact_store_base.h
@@ -45,6 +45,15 @@
    */
   std::vector<query::PublishFact> take(base::TimePoint Now, size_t Count);
 
+  /**
+   * Lists the facts about one kind of subject, without counting them as sent.
+   * @param Now Current time.
+   * @param Kind The kind.
+   * @return Facts with their remaining lifetimes.
+   */
+  std::vector<query::PublishFact> held(base::TimePoint Now,
+                                       query::FactKind Kind) const;
+
   /**
    * Sends all facts again, such as to an instance that was out of reach.
    * @param Transmissions How often.
--- a/src/peers/message_type.h
+++ b/src/peers/message_type.h
@@ -4,6 +4,7 @@
 #include "base/id_type.h"
 #include "base/time_type.h"
 #include "config/acceptance_type.h"
+#include "peers/server_list_type.h"
 #include "query/action_type.h"
 
 #include <cstdint>
@@ -91,8 +92,9 @@
 /** Announces that the sender stops. */
 struct Leave {};
 
-using Body = std::variant<Ping, Ack, PingRequest, Facts, ConfigPull, ConfigPush,
-                          ForwardOnce, ForwardOnceReply, Leave>;
+using Body =
+    std::variant<Ping, Ack, PingRequest, Facts, ConfigPull, ConfigPush,
+                 ForwardOnce, ForwardOnceReply, Leave, ServerPull, ServerPush>;
 
 /** One message between two instances. */
 struct Envelope {
@@ -100,6 +102,7 @@
   base::InstanceId Recipient;
   bool SenderReady = false; ///< Its configuration has met the start rule.
   config::ConfigurationVersion Shown; ///< In force at the sender.
+  uint64_t ShownServers = 0;          ///< Version of the sender's server list.
   std::vector<Member> Members;
   std::vector<query::PublishFact> News; ///< Lifetimes are what remains.
   Body Content;
--- a/src/peers/node.cpp
+++ b/src/peers/node.cpp
@@ -23,8 +23,8 @@
 Node::Node(TimePoint Now, const Member &Own, const NodeRules &Rules,
            uint64_t Seed)
     : Rules(Rules), Members(Own, Rules.Membership, Seed),
-      News(Rules.MaxFacts, Rules.MaxLifetime), NextRelay(FirstRelay),
-      NextGossip(Now), NextJoin(Now), Started(Now) {}
+      News(Rules.MaxFacts, Rules.MaxLifetime), Servers(Now),
+      NextRelay(FirstRelay), NextGossip(Now), NextJoin(Now), Started(Now) {}
 
 uint32_t Node::transmissions() const {
   return this->Rules.Membership.Transmissions *
@@ -47,6 +47,7 @@
   Message.Recipient = Recipient;
   Message.SenderReady = this->Verdict == StartVerdict::Ready;
   Message.Shown = this->Spread.inForce();
+  Message.ShownServers = this->Servers.version();
   Message.Members = this->Members.takeUpdates(Recipient);
   Message.News = this->News.take(Now, MaxFacts);
   Message.Content = std::move(Content);
@@ -149,6 +150,7 @@
   this->applySpread(Now, Message.Sender,
                     this->Spread.onShown(Now, Message.Sender.Id, Message.Shown),
                     Out);
+  this->Servers.onShown(Now, Message.Sender.Id, Message.ShownServers);
   this->handle(Now, Message.Sender, Message.Content, Out);
   const MemberRecord *Record = this->Members.find(Message.Sender.Id);
   bool Accused =
@@ -183,6 +185,28 @@
     }
   } else if (const auto *Reply = std::get_if<ForwardOnceReply>(&Content)) {
     Out.emplace_back(DeliverReply{From.Id, *Reply});
+  } else if (const auto *Pull = std::get_if<ServerPull>(&Content)) {
+    if (auto Push = this->Servers.onPull(Now, *Pull)) {
+      this->send(Now, From, std::move(*Push), Out);
+    }
+  } else if (const auto *Push = std::get_if<ServerPush>(&Content)) {
+    this->onServerPush(Now, From, *Push, Out);
+  }
+}
+
+void Node::onServerPush(TimePoint Now, const Member &From,
+                        const ServerPush &Push, Actions &Out) {
+  std::optional<ServerList> Whole = this->Servers.onPush(Now, From.Id, Push);
+  if (!Whole) {
+    return;
+  }
+  Out.emplace_back(OfferServers{std::move(*Whole)});
+  // The engines dropped facts about servers that they did not know yet.
+  for (query::FactKind Kind :
+       {query::FactKind::ServerLeaving, query::FactKind::ServerCrashed}) {
+    for (query::PublishFact &Fact : this->News.held(Now, Kind)) {
+      Out.emplace_back(ApplyFact{std::move(Fact)});
+    }
   }
 }
 
@@ -257,6 +281,12 @@
                  PingRequest{Due.Sequence, Due.Target, Due.Address}, Out);
     }
   }
+  if (auto Ask = this->Servers.tick(Now)) {
+    if (auto Message = this->compose(Now, Ask->Peer, Ask->Pull)) {
+      ++this->Counters.ServerPulls;
+      Out.emplace_back(std::move(*Message));
+    }
+  }
   this->join(Now, Out);
   this->gossip(Now, Out);
 }
--- a/src/peers/node_base.h
+++ b/src/peers/node_base.h
@@ -5,11 +5,13 @@
 #include "peers/fact_store_base.h"
 #include "peers/membership_base.h"
 #include "peers/message_type.h"
+#include "peers/server_spread_base.h"
 #include "peers/start_rule_func.h"
 
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -33,6 +35,11 @@
   config::ConfigurationVersion Version;
 };
 
+/** Use a list of servers from a peer unless the platform has given one. */
+struct OfferServers {
+  ServerList List;
+};
+
 /** Report that a peer has another content under the revision in force. */
 struct ReportConflict {
   base::InstanceId Peer;
@@ -50,8 +57,9 @@
   ForwardOnceReply Reply;
 };
 
-using Action = std::variant<SendMessage, ApplyFact, OfferConfiguration,
-                            ReportConflict, DeliverCall, DeliverReply>;
+using Action =
+    std::variant<SendMessage, ApplyFact, OfferConfiguration, OfferServers,
+                 ReportConflict, DeliverCall, DeliverReply>;
 using Actions = std::vector<Action>;
 
 /** Times and counts of a node. */
@@ -75,6 +83,7 @@
   uint64_t StaleProcess = 0; ///< Messages of a process that was replaced.
   uint64_t FactsLearnt = 0;
   uint64_t Pulls = 0;
+  uint64_t ServerPulls = 0;
   uint64_t Conflicts = 0;
 };
 
@@ -101,6 +110,12 @@
    */
   void onListing(base::TimePoint Now, const std::vector<Member> &Entries);
 
+  /**
+   * Takes the backend servers of the platform's list, which peers may pull.
+   * @param List The servers.
+   */
+  void onServers(ServerList List) { this->Servers.setListed(std::move(List)); }
+
   /**
    * Takes an authenticated message.
    * @param Now Current time.
@@ -197,6 +212,8 @@
                    Actions &Out);
   void handle(base::TimePoint Now, const Member &From, const Body &Content,
               Actions &Out);
+  void onServerPush(base::TimePoint Now, const Member &From,
+                    const ServerPush &Push, Actions &Out);
   void onAck(base::TimePoint Now, const Ack &Received, Actions &Out);
   void onPingRequest(base::TimePoint Now, const Member &From,
                      const PingRequest &Request, Actions &Out);
@@ -208,6 +225,7 @@
   Membership Members;
   FactStore News;
   ConfigSpread Spread;
+  ServerSpread Servers;
   std::map<uint64_t, Relay> Relays; ///< By sequence of the relayed Ping.
   uint64_t NextRelay;
   bool Fresh = false; ///< News that no peer has been told.
--- a/src/routing/directory.cpp
+++ b/src/routing/directory.cpp
@@ -22,6 +22,7 @@
                        double Limit) {
   Server.Process = Process;
   Server.Phase = ServerPhase::Unknown;
+  Server.Left = false;
   Server.Latency = 0;
   Server.SuccessRate = 1;
   Server.Limit = Limit;
@@ -80,7 +81,10 @@
       continue; // The list lags behind the server's own report.
     }
     if (Entry.Process > Server.Process || Server.Phase == ServerPhase::Gone) {
+      // A list that lags may name a server again that has left.
+      bool Left = Server.Left && Entry.Process == Server.Process;
       resetObservations(Server, Entry.Process, this->InitialLimit);
+      Server.Phase = Left ? ServerPhase::Leaving : ServerPhase::Unknown;
       Fresh.push_back(Found->second);
     }
     Server.Address = Entry.Address;
@@ -91,6 +95,8 @@
   }
   for (size_t I = 0; I < Seen.size(); ++I) {
     if (!Seen[I]) {
+      this->Servers[I].Left = this->Servers[I].Left ||
+                              this->Servers[I].Phase == ServerPhase::Leaving;
       this->Servers[I].Phase = ServerPhase::Gone;
     }
   }
--- a/src/routing/server_type.h
+++ b/src/routing/server_type.h
@@ -60,6 +60,7 @@
   base::FailureDomainId Domain;
   base::Incarnation Process;
   ServerPhase Phase = ServerPhase::Unknown;
+  bool Left = false; ///< Was seen leaving before it was no longer listed.
   uint32_t Outstanding = 0;   ///< Attempts sent and not settled.
   double Latency = 0;         ///< Smoothed milliseconds; 0: none observed.
   base::TimePoint ObservedAt; ///< When Latency was last updated.
--- a/tests/peer_daemon_test.cpp
+++ b/tests/peer_daemon_test.cpp
@@ -194,6 +194,24 @@
   CHECK(Fleet.allAt(8));
 }
 
+// Guards against an instance that is ready but knows no backend server,
+// because it started while the platform was out of reach.
+TEST_CASE("an instance that reaches only peers learns the backend servers",
+          "[daemon]") {
+  Peers Fleet(4);
+  REQUIRE(Fleet.allReady());
+  for (size_t I = 0; I < 4; ++I) {
+    REQUIRE(Fleet.waitUntilServing(I));
+  }
+  Fleet.Stand.platform().setFault(standin::PlatformFault::Down);
+  auto Begin = base::Clock::now();
+  Fleet.restart(1);
+  CHECK(Fleet.allReady(10s));
+  CHECK(Fleet.waitUntilServing(1));
+  INFO("took " << base::toMilliseconds(base::Clock::now() - Begin) << " ms");
+  CHECK(base::Clock::now() - Begin < 8s);
+}
+
 // Guards against work for a server that another instance knows to be leaving.
 TEST_CASE("a leaving server gets no new work from any instance", "[daemon]") {
   Peers Fleet(4);
--- a/tests/virtual_fleet.h
+++ b/tests/virtual_fleet.h
@@ -25,6 +25,8 @@
     std::vector<std::pair<base::TimePoint, query::PublishFact>> Learnt;
     std::map<uint64_t, base::TimePoint> InForceSince; ///< By revision.
     size_t Conflicts = 0;
+    /** Lists of servers taken from peers, and how many facts preceded each. */
+    std::vector<std::pair<size_t, peers::ServerList>> Lists;
   };
 
   explicit VirtualFleet(size_t Count, uint64_t Seed = 1, size_t Domains = 3)
@@ -180,6 +182,8 @@
         Source.Learnt.emplace_back(this->Now, Fact->Fact);
       } else if (auto *Offer = std::get_if<peers::OfferConfiguration>(&Step)) {
         this->putInForce(From, Offer->Texts);
+      } else if (auto *Servers = std::get_if<peers::OfferServers>(&Step)) {
+        Source.Lists.emplace_back(Source.Learnt.size(), Servers->List);
       } else if (std::holds_alternative<peers::ReportConflict>(Step)) {
         ++Source.Conflicts;
       }
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -62,6 +62,31 @@
 
 struct LeaveBody {}
 
+// The indices are positions in the lists of names of ServerPushBody.
+struct ListedServer {
+  1: required string id;
+  2: required i32 serviceIndex;
+  3: required string address;
+  4: required i32 domainIndex;
+  5: required i64 process;
+  6: optional bool leaving;
+}
+
+struct ServerPullBody {
+  1: required i64 version;
+  2: required i32 first;
+}
+
+struct ServerPushBody {
+  1: required i64 version;
+  2: required i32 instances;
+  3: required i32 total;
+  4: required i32 first;
+  5: required list<string> services;
+  6: required list<string> domains;
+  7: required list<ListedServer> servers;
+}
+
 union PeerBody {
   1: PingBody ping;
   2: AckBody ack;
@@ -72,6 +97,8 @@
   7: ForwardOnceBody forwardOnce;
   8: ForwardOnceReplyBody forwardOnceReply;
   9: LeaveBody leave;
+  10: ServerPullBody serverPull;
+  11: ServerPushBody serverPush;
 }
 
 struct PeerFrame {
@@ -84,4 +111,5 @@
   7: optional list<PeerMember> members;
   8: optional list<Fact> facts;
   9: required PeerBody body;
+  10: optional i64 servers;
 }
