--- a/tests/caller_failure_test.cpp
+++ b/tests/caller_failure_test.cpp
@@ -204,6 +204,7 @@
   CHECK(eventually(
       [&] { return httpRefusals(Cluster, "callers", "read_timeout") == "3"; }));
   std::vector<std::unique_ptr<RawCaller>> Many;
+  Many.reserve(12);
   for (int I = 0; I < 12; ++I) {
     Many.push_back(std::make_unique<RawCaller>(Callers));
   }
--- a/tests/report_test.cpp
+++ b/tests/report_test.cpp
@@ -29,7 +29,7 @@
 }
 
 routing::VersionReport holding(uint64_t Version, uint32_t Shards,
-                               std::vector<uint32_t> Holds) {
+                               const std::vector<uint32_t> &Holds) {
   routing::Layout Made{base::VersionId(Version), {}};
   for (uint32_t I = 0; I < Shards; ++I) {
     Made.Shards.push_back("shard-" + std::to_string(I));
--- a/tests/server_spread_test.cpp
+++ b/tests/server_spread_test.cpp
@@ -114,7 +114,7 @@
   INFO("bytes: " << Total << " in " << Parts << " parts, largest " << Largest
                  << ", frame without servers " << Frame << ", per server "
                  << static_cast<double>(Total) / 3'200);
-  CHECK(Total < 3'200 * 64);
+  CHECK(Total < size_t{3'200} * 64);
   CHECK(Largest * (1s / peers::ServerPushInterval + 0.5) <= 10'000);
 }
 
