--- a/src/daemon/peer_node.cpp
+++ b/src/daemon/peer_node.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest_func.h"
 #include "config/settings_func.h"
+#include "daemon/server_list_func.h"
 #include "net/peer_codec_func.h"
 
 #include <boost/asio/post.hpp>
@@ -101,13 +102,8 @@
 
 void PeerNode::applyInstances(const net::InstanceList &List) {
   std::vector<peers::Member> Entries;
-  peers::ServerList Servers;
-  Servers.Version = List.Version;
   for (const net::InstanceListing &Listing : List.Entries) {
-    if (Listing.Kind == "backend") {
-      Servers.Servers.push_back({Listing.Service, Listing.Server});
-    }
-    if (Listing.Kind != "entry" || Listing.Server.Leaving) {
+    if (!isLiveInstance(Listing)) {
       continue;
     }
     peers::Member Entry;
@@ -116,7 +112,7 @@
     Entry.Domain = Listing.Server.Domain;
     Entries.push_back(std::move(Entry));
   }
-  Servers.Instances = static_cast<uint32_t>(Entries.size());
+  peers::ServerList Servers = toServerList(List);
   std::lock_guard Lock(this->Mutex);
   this->Node.onListing(Clock::now(), Entries);
   this->Node.onServers(std::move(Servers));
--- a/src/daemon/tier.cpp
+++ b/src/daemon/tier.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest_func.h"
 #include "config/acceptance_func.h"
+#include "daemon/server_list_func.h"
 
 #include <algorithm>
 #include <utility>
@@ -74,15 +75,7 @@
 }
 
 void Tier::applyInstances(const net::InstanceList &List) {
-  peers::ServerList Given;
-  Given.Version = List.Version;
-  for (const net::InstanceListing &Entry : List.Entries) {
-    if (Entry.Kind == "backend") {
-      Given.Servers.push_back({Entry.Service, Entry.Server});
-    } else if (Entry.Kind == "entry" && !Entry.Server.Leaving) {
-      ++Given.Instances;
-    }
-  }
+  peers::ServerList Given = toServerList(List);
   std::lock_guard ListLock(this->ListMutex);
   {
     std::lock_guard Lock(this->Mutex);
--- a/tests/backend_failure_test.cpp
+++ b/tests/backend_failure_test.cpp
@@ -60,6 +60,13 @@
   }
 }
 
+/** Serves rows with the parameters of their request. @return One server. */
+standin::BackendServer &serveWithEchoes(Loopback &Cluster) {
+  Cluster.changeStock([](BackendBehaviour &How) { How.EchoParameters = true; });
+  REQUIRE(Cluster.waitUntilServing(0));
+  return Cluster.Stand.server("stock", 0);
+}
+
 } // namespace
 
 // Guards against queries that fail or hang when a replica crashes under them.
@@ -129,9 +136,7 @@
           "connection",
           "[backend]") {
   Loopback Cluster(1);
-  Cluster.changeStock([](BackendBehaviour &How) { How.EchoParameters = true; });
-  REQUIRE(Cluster.waitUntilServing(0));
-  standin::BackendServer &Wrong = Cluster.Stand.server("stock", 0);
+  standin::BackendServer &Wrong = serveWithEchoes(Cluster);
   Wrong.change([](BackendBehaviour &How) { How.WrongEcho = true; });
   askWithColours(Cluster, 20);
   uint64_t Echoes = Cluster.stockCounters(0).WrongEchoes;
@@ -146,9 +151,7 @@
           "connection",
           "[backend]") {
   Loopback Cluster(1);
-  Cluster.changeStock([](BackendBehaviour &How) { How.EchoParameters = true; });
-  REQUIRE(Cluster.waitUntilServing(0));
-  standin::BackendServer &Wrong = Cluster.Stand.server("stock", 0);
+  standin::BackendServer &Wrong = serveWithEchoes(Cluster);
   uint64_t Before = Wrong.counters().Searches;
   Wrong.change([](BackendBehaviour &How) { How.Garbage = true; });
   askWithColours(Cluster, 20);
