--- a/Makefile
+++ b/Makefile
@@ -16,9 +16,10 @@
 format:
 	git ls-files '*.cpp' '*.h' | grep -v '^src/gen/' | xargs clang-format-14 -i
 
-# Needs the package thrift-compiler; only after a change of peer.thrift.
+# Needs the package thrift-compiler; only after a change of thrift/.
 thrift:
 	thrift --gen cpp:no_skeleton -out src/gen thrift/peer.thrift
+	thrift --gen cpp:no_skeleton -out src/gen thrift/fleet.thrift
 
 # Measures for some minutes; the page says what the machine was like.
 capacity: build
--- a/src/cli/commands_func.h
+++ b/src/cli/commands_func.h
@@ -39,6 +39,10 @@
  * Arguments. @return Exit code. */
 int runServe(int Count, const char **Arguments);
 
+/** gateway: runs an entry instance on the users' platform. @param Count
+ * Arguments. @param Arguments Arguments. @return Exit code. */
+int runGateway(int Count, const char **Arguments);
+
 /** check: validates settings and published documents. @param Count Arguments.
  * @param Arguments Arguments. @return Exit code. */
 int runCheck(int Count, const char **Arguments);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -10,6 +10,8 @@
 
 const Command Commands[] = {
     {"serve", "run an entry instance", hickorycrank::cli::runServe},
+    {"gateway", "run an entry instance on the users' platform",
+     hickorycrank::cli::runGateway},
     {"check", "validate settings and published documents",
      hickorycrank::cli::runCheck},
     {"query", "send one query as a caller would", hickorycrank::cli::runQuery},
--- /dev/null
+++ b/src/config/gateway_settings_type.h
@@ -0,0 +1,29 @@
+#ifndef HICKORYCRANK_CONFIG_GATEWAY_SETTINGS_TYPE_H
+#define HICKORYCRANK_CONFIG_GATEWAY_SETTINGS_TYPE_H
+
+#include "base/id_type.h"
+#include "config/settings_type.h"
+#include "forward/extra_budget_base.h"
+
+#include <chrono>
+#include <vector>
+
+namespace hickorycrank::config {
+
+/** What an instance that forwards requests by route reads at its start. */
+struct GatewaySettings {
+  base::InstanceId Instance;
+  base::FailureDomainId Domain;
+  Endpoint Callers;            ///< Where callers connect.
+  Endpoint Readiness;          ///< Where the balancer asks for readiness.
+  Endpoint Control;            ///< Snapshots for peers, metrics and status.
+  Endpoint Heartbeats;         ///< UDP; the port is the same on all instances.
+  Endpoint Store;              ///< The platform's metadata store.
+  std::vector<Endpoint> Seeds; ///< Control endpoints of some instances.
+  forward::ExtraLimits Extra;  ///< Extra attempts of all instances together.
+  std::chrono::milliseconds Grace{6'000}; ///< From SIGTERM to SIGKILL.
+};
+
+} // namespace hickorycrank::config
+
+#endif
--- /dev/null
+++ b/src/daemon/fleet_node.cpp
@@ -0,0 +1,158 @@
+#include "daemon/fleet_node_base.h"
+
+#include "config/settings_func.h"
+#include "daemon/log_func.h"
+#include "net/fleet_codec_func.h"
+
+#include <boost/asio/buffer.hpp>
+#include <utility>
+
+namespace hickorycrank::daemon {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using base::Clock;
+
+namespace {
+
+/** Time to copy a view from another instance; a slow one is left for another.
+ */
+constexpr base::Duration PullTimeout = std::chrono::milliseconds(800);
+constexpr std::chrono::milliseconds PullConnectTimeout(300);
+
+} // namespace
+
+FleetNode::FleetNode(asio::io_context &Context,
+                     const config::GatewaySettings &Own, uint64_t Seed,
+                     FleetCallbacks Handlers)
+    : Context(Context), Own(Own), Process(Seed), Handlers(std::move(Handlers)),
+      Members(config::toString(Own.Heartbeats), Seed), Socket(Context) {
+  udp::endpoint Where(asio::ip::make_address(Own.Heartbeats.Address),
+                      Own.Heartbeats.Port);
+  this->Socket.open(Where.protocol());
+  this->Socket.bind(Where);
+  this->Socket.non_blocking(true);
+  this->setSeeds(Own.Seeds);
+}
+
+void FleetNode::start() { this->receive(); }
+
+void FleetNode::stop() {
+  this->Stopped = true;
+  boost::system::error_code Ignored;
+  this->Socket.close(Ignored);
+  if (this->Pull) {
+    this->Pull->releaseCallbacks();
+  }
+}
+
+void FleetNode::setSeeds(const std::vector<config::Endpoint> &Seeds) {
+  std::vector<std::string> Addresses;
+  for (const config::Endpoint &Seed : Seeds) {
+    Addresses.push_back(
+        config::toString({Seed.Address, this->Own.Heartbeats.Port}));
+  }
+  this->Members.setSeeds(std::move(Addresses));
+}
+
+void FleetNode::tick(base::TimePoint Now) {
+  fleet::Heartbeat Message = this->Handlers.Describe();
+  Message.Address = config::toString(this->Own.Heartbeats);
+  Message.Control = config::toString(this->Own.Control);
+  Message.Process = this->Process;
+  Message.Peers = this->Members.addresses();
+  std::string Bytes = net::encodeHeartbeat(Message);
+  for (const std::string &Target : this->Members.targets(Now)) {
+    auto Where = config::parseEndpoint(Target);
+    if (!Where) {
+      continue;
+    }
+    boost::system::error_code Failure;
+    this->Socket.send_to(
+        asio::buffer(Bytes),
+        udp::endpoint(asio::ip::make_address(Where->Address), Where->Port), 0,
+        Failure);
+    // A lost heartbeat is followed by the next one; only successes count.
+    this->Counters.Sent += Failure ? 0 : 1;
+  }
+}
+
+bool FleetNode::catchUp(base::TimePoint Now, uint64_t ChangedAt) {
+  auto Ahead = this->Members.findAhead(Now, ChangedAt);
+  if (!Ahead || this->Pull || this->Stopped) {
+    return false;
+  }
+  auto Where = config::parseEndpoint(Ahead->Control);
+  if (!Where) {
+    return false;
+  }
+  ++this->Counters.Pulls;
+  logEvent(LogLevel::Info, "view.behind",
+           {{"own", std::to_string(ChangedAt)},
+            {"peer", Ahead->Control},
+            {"peer_changed_at", std::to_string(Ahead->ChangedAt)}});
+  net::PoolLimits Limits;
+  Limits.MaxConnections = 1;
+  Limits.ConnectTimeout = PullConnectTimeout;
+  this->Pull = std::make_shared<net::HttpPool>(this->Context, *Where, Limits);
+  net::HttpRequest Request;
+  Request.Path = SnapshotTarget;
+  this->Pull->send(std::move(Request), Clock::now() + PullTimeout, true,
+                   [Weak = this->weak_from_this(),
+                    Healthy = Ahead->StoreHealthy](net::ExchangeResult Result) {
+                     auto Self = Weak.lock();
+                     if (Self && !Self->Stopped) {
+                       Self->onPulled(Result, Healthy);
+                     }
+                   });
+  return true;
+}
+
+void FleetNode::onPulled(const net::ExchangeResult &Result, bool StoreHealthy) {
+  // The pool is released after this callback, which it is running.
+  asio::post(this->Context, [Ended = std::exchange(this->Pull, nullptr)] {});
+  const auto *Response = std::get_if<net::HttpResponse>(&Result);
+  if (Response == nullptr || Response->Status != 200) {
+    ++this->Counters.PullsFailed;
+    return;
+  }
+  auto Decoded = net::decodeSnapshot(Response->Body);
+  if (!Decoded) {
+    ++this->Counters.PullsFailed;
+    logEvent(LogLevel::Warning, "view.bad_snapshot",
+             {{"error", Decoded.error().Message}});
+    return;
+  }
+  this->Handlers.OnSnapshot(Decoded.value(), StoreHealthy);
+}
+
+void FleetNode::receive() {
+  this->Socket.async_receive_from(
+      asio::buffer(this->Datagram), this->Sender,
+      [Weak = this->weak_from_this()](boost::system::error_code Failure,
+                                      size_t Count) {
+        auto Self = Weak.lock();
+        if (!Self || Self->Stopped ||
+            Failure == asio::error::operation_aborted) {
+          return;
+        }
+        // Errors are those of earlier datagrams whose target has no listener.
+        if (!Failure) {
+          Self->onDatagram(Count);
+        }
+        Self->receive();
+      });
+}
+
+void FleetNode::onDatagram(size_t Count) {
+  auto Decoded = net::decodeHeartbeat({this->Datagram.data(), Count});
+  if (!Decoded) {
+    ++this->Counters.Malformed;
+    return;
+  }
+  ++this->Counters.Received;
+  this->Members.onHeartbeat(Clock::now(), Decoded.value());
+  this->Handlers.OnHeartbeat(Decoded.value());
+}
+
+} // namespace hickorycrank::daemon
--- /dev/null
+++ b/src/daemon/fleet_node_base.h
@@ -0,0 +1,100 @@
+#ifndef HICKORYCRANK_DAEMON_FLEET_NODE_BASE_H
+#define HICKORYCRANK_DAEMON_FLEET_NODE_BASE_H
+
+#include "config/gateway_settings_type.h"
+#include "discovery/item_type.h"
+#include "fleet/roster_base.h"
+#include "net/http_pool_base.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <memory>
+
+namespace hickorycrank::daemon {
+
+/** What the node asks of and tells its owner. */
+struct FleetCallbacks {
+  /** State to tell others; addresses and peers are filled in by the node. */
+  std::function<fleet::Heartbeat()> Describe;
+  std::function<void(const fleet::Heartbeat &)> OnHeartbeat;
+  /** A newer view of another instance, whose store may be reliable or not. */
+  std::function<void(const discovery::Snapshot &, bool StoreHealthy)>
+      OnSnapshot;
+};
+
+/** What a node counts. */
+struct FleetCounters {
+  uint64_t Sent = 0;
+  uint64_t Received = 0;
+  uint64_t Malformed = 0;
+  uint64_t Pulls = 0;
+  uint64_t PullsFailed = 0;
+};
+
+/**
+ * Exchanges heartbeats with the other instances, and copies the view of one
+ * that is ahead. Runs on one thread, that of the io_context.
+ */
+class FleetNode : public std::enable_shared_from_this<FleetNode> {
+public:
+  /** Request target of snapshots at an instance's control endpoint. */
+  static constexpr const char *SnapshotTarget = "/fleet/snapshot";
+
+  /**
+   * Binds the address for heartbeats.
+   * @param Context Runs the node.
+   * @param Own Settings of the process.
+   * @param Seed For random choices and as the number of this process.
+   * @param Handlers What to ask of and tell the owner.
+   * @throws boost::system::system_error if the address cannot be bound.
+   */
+  FleetNode(boost::asio::io_context &Context,
+            const config::GatewaySettings &Own, uint64_t Seed,
+            FleetCallbacks Handlers);
+
+  /** Begins to receive. */
+  void start();
+  /** Ends all calls; the callbacks are not called afterwards. */
+  void stop();
+  /** Replaces the seeds. @param Seeds Control endpoints of instances. */
+  void setSeeds(const std::vector<config::Endpoint> &Seeds);
+  /** Sends heartbeats. @param Now Current time. */
+  void tick(base::TimePoint Now);
+  /**
+   * Copies the view of an instance that is ahead.
+   * @param Now Current time.
+   * @param ChangedAt Revision of the last change of the own view.
+   * @return Whether an instance is ahead.
+   */
+  bool catchUp(base::TimePoint Now, uint64_t ChangedAt);
+
+  /** @param Now Current time. @return Instances including this one. */
+  size_t instances(base::TimePoint Now) const {
+    return this->Members.instances(Now);
+  }
+  /** @return What was counted so far. */
+  const FleetCounters &counters() const { return this->Counters; }
+
+private:
+  void receive();
+  void onDatagram(size_t Count);
+  void onPulled(const net::ExchangeResult &Result, bool StoreHealthy);
+
+  boost::asio::io_context &Context;
+  config::GatewaySettings Own;
+  base::Incarnation Process;
+  FleetCallbacks Handlers;
+  fleet::Roster Members;
+  boost::asio::ip::udp::socket Socket;
+  boost::asio::ip::udp::endpoint Sender;
+  std::array<char, 16 * 1024> Datagram;
+  std::shared_ptr<net::HttpPool> Pull; ///< While a view is being copied.
+  bool Stopped = false;
+  FleetCounters Counters;
+};
+
+} // namespace hickorycrank::daemon
+
+#endif
--- /dev/null
+++ b/src/daemon/gateway_view.cpp
@@ -0,0 +1,185 @@
+#include "daemon/gateway_base.h"
+
+#include "config/settings_func.h"
+#include "net/fleet_codec_func.h"
+
+#include <sstream>
+#include <utility>
+
+namespace hickorycrank::daemon {
+
+using base::Clock;
+using discovery::ItemKind;
+
+void Gateway::onSnapshot(const discovery::Snapshot &Newer, bool Reliable) {
+  auto Mode =
+      Reliable ? discovery::Removal::Immediate : discovery::Removal::Held;
+  if (this->View.apply(Clock::now(), Newer, Mode)) {
+    this->applyView();
+  }
+}
+
+void Gateway::onChanges(const discovery::ChangeSet &Newer) {
+  if (Newer.Changes.empty()) {
+    return;
+  }
+  auto Mode = this->Reader->isStable(Clock::now())
+                  ? discovery::Removal::Immediate
+                  : discovery::Removal::Held;
+  this->View.apply(Clock::now(), Newer, Mode);
+  this->applyView();
+}
+
+void Gateway::applyView() {
+  this->applyConfiguration();
+  this->applyServers();
+}
+
+void Gateway::applyConfiguration() {
+  for (const discovery::Item &Entry :
+       this->View.items(ItemKind::Configuration)) {
+    if (Entry.Revision <= this->ConfigurationRevision) {
+      continue;
+    }
+    this->ConfigurationRevision = Entry.Revision;
+    auto Decoded = this->Dialect.Store.DecodeRoutes(Entry);
+    if (!Decoded) {
+      logEvent(LogLevel::Error, "configuration.rejected",
+               {{"revision", std::to_string(Entry.Revision)},
+                {"error", Decoded.error().Message}});
+      continue;
+    }
+    auto Table =
+        std::make_shared<const forward::RouteTable>(std::move(Decoded.value()));
+    if (!this->Engine.onRoutes(Table)) {
+      logEvent(LogLevel::Warning, "configuration.older",
+               {{"version", std::to_string(Table->Version)}});
+      continue;
+    }
+    this->Callers.setLimits(Table->Limits);
+    logEvent(LogLevel::Info, "configuration.in_force",
+             {{"version", std::to_string(Table->Version)},
+              {"revision", std::to_string(Entry.Revision)},
+              {"routes", std::to_string(Table->Routes.size())}});
+  }
+}
+
+void Gateway::applyServers() {
+  std::vector<forward::ServerEntry> Entries;
+  std::map<std::string, DecodedServer> Known;
+  for (const discovery::Item &Entry : this->View.items(ItemKind::Server)) {
+    DecodedServer &Slot = Known[Entry.Name];
+    auto Before = this->DecodedServers.find(Entry.Name);
+    if (Before != this->DecodedServers.end() &&
+        Before->second.Revision == Entry.Revision) {
+      Slot = std::move(Before->second);
+    } else {
+      Slot.Revision = Entry.Revision;
+      auto Decoded = this->Dialect.Store.DecodeServer(Entry);
+      if (Decoded) {
+        Slot.Entry = std::move(Decoded.value());
+        this->Limit.log(Clock::now(), LogLevel::Info, "server.changed",
+                        {{"server", Entry.Name},
+                         {"revision", std::to_string(Entry.Revision)},
+                         {"leaving", Slot.Entry->Leaving ? "true" : "false"}});
+      } else {
+        this->Limit.log(
+            Clock::now(), LogLevel::Warning, "server.unreadable",
+            {{"server", Entry.Name}, {"error", Decoded.error().Message}});
+      }
+    }
+    if (Slot.Entry) {
+      Entries.push_back(*Slot.Entry);
+    }
+  }
+  this->DecodedServers = std::move(Known);
+  this->ServersKnown = true;
+  forward::Actions Decided;
+  this->Engine.onServers(suspendAwareNow(), Entries, Decided);
+  this->carryOut(std::move(Decided));
+}
+
+void Gateway::onHeartbeat(const fleet::Heartbeat &Received) {
+  for (base::Fingerprint Content : Received.Quarantined) {
+    this->Engine.onQuarantine(suspendAwareNow(), Content);
+  }
+}
+
+fleet::Heartbeat Gateway::describe() const {
+  fleet::Heartbeat Own;
+  Own.Leaving = this->Stopping && !this->OnStopped;
+  Own.ChangedAt = this->View.changedAt();
+  Own.StoreHealthy = this->Reader->isStable(Clock::now());
+  Own.Quarantined = this->Engine.crashes().quarantined(suspendAwareNow());
+  return Own;
+}
+
+void Gateway::handleControl(const net::HttpCall &Call) {
+  net::HttpResponse Response;
+  if (Call.Request.Path == FleetNode::SnapshotTarget) {
+    Response.ContentType = "application/octet-stream";
+    Response.Body = net::encodeSnapshot(this->View.snapshot());
+  } else if (Call.Request.Path == "/metrics") {
+    Response.ContentType = "text/plain";
+    Response.Body = this->renderMetrics();
+  } else {
+    Response.Status = 404;
+  }
+  Call.Respond(std::move(Response));
+}
+
+std::string Gateway::renderMetrics() const {
+  std::ostringstream Text;
+  auto Add = [&Text](const std::string &Name, double Value,
+                     const metrics::Labels &Series = {}) {
+    Text << metrics::formatSample("hickorycrank_" + Name, Series, Value);
+  };
+  auto Count = [&Add](const std::string &Name, uint64_t Value,
+                      const metrics::Labels &Series = {}) {
+    Add(Name + "_total", static_cast<double>(Value), Series);
+  };
+  const forward::EngineCounters &Decisions = this->Engine.counters();
+  Count("calls", Decisions.Calls);
+  Count("answers", Decisions.Answers);
+  Count("partial_answers", Decisions.PartialAnswers);
+  Count("callers_gone", Decisions.CallersGone);
+  Count("attempts", Decisions.Attempts);
+  Count("hedges", Decisions.Hedges);
+  Count("retries", Decisions.Retries);
+  Count("hedges_denied", Decisions.HedgesDenied);
+  Count("retries_denied", Decisions.RetriesDenied);
+  Count("attempts_shed", Decisions.Shed);
+  Count("attempts_misdirected", Decisions.Misdirected);
+  Count("attempts_server_error", Decisions.ServerErrors);
+  Count("attempts_not_sent", Decisions.NotSent);
+  Count("attempts_broken", Decisions.Broken);
+  Count("late_replies", Decisions.LateReplies);
+  for (size_t I = 0; I < forward::RefusalReasonCount; ++I) {
+    Count("refusals", Decisions.Refusals[I],
+          {{"reason",
+            forward::toString(static_cast<forward::RefusalReason>(I))}});
+  }
+  const net::UpstreamCounters &Links = this->Upstream.counters();
+  Count("connections_opened", Links.Opened);
+  Count("connections_failed", Links.ConnectFailed);
+  Count("connections_reused", Links.Reused);
+  Count("foreign_replies", Links.ForeignReplies);
+  Count("surplus_bytes", Links.SurplusBytes);
+  Count("abandoned_closed", Links.AbandonedClosed);
+  Count("store_calls", this->Reader->counters().Calls);
+  Count("store_failures", this->Reader->counters().Failures);
+  Count("heartbeats_sent", this->Fleet->counters().Sent);
+  Count("heartbeats_received", this->Fleet->counters().Received);
+  Count("view_pulls", this->Fleet->counters().Pulls);
+  Add("instances", static_cast<double>(this->Fleet->instances(Clock::now())));
+  Add("backend_servers", static_cast<double>(this->Engine.servers()));
+  Add("connections", static_cast<double>(this->Upstream.connections()));
+  Add("calls_in_progress", static_cast<double>(this->Engine.callsInProgress()));
+  Add("view_revision", static_cast<double>(this->View.revision()));
+  Add("config_version",
+      static_cast<double>(this->Engine.routes() ? this->Engine.routes()->Version
+                                                : 0));
+  return Text.str() + this->Metrics.render();
+}
+
+} // namespace hickorycrank::daemon
--- /dev/null
+++ b/src/daemon/store_reader.cpp
@@ -0,0 +1,204 @@
+#include "daemon/store_reader_base.h"
+
+#include "daemon/log_func.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorycrank::daemon {
+
+using base::Clock;
+using base::Duration;
+
+namespace {
+
+/** Time that a watch waits. A lost answer is noticed after it; shorter watches
+ * cost more calls, which are limited and priced. */
+constexpr std::chrono::milliseconds WatchWait(5'000);
+/** Time for an answer beyond the time that the store is asked to wait. */
+constexpr Duration AnswerTimeout = std::chrono::milliseconds(1'200);
+constexpr Duration FirstRetry = std::chrono::milliseconds(120);
+constexpr uint32_t MaxRetryDoublings = 3;
+/** Time without failure after which the absence of an item proves that it is
+ * gone: servers that lapsed during an outage are back within 2 s. */
+constexpr Duration StableTime = std::chrono::milliseconds(3'000);
+constexpr uint32_t MaxAnswerBytes = 16 * 1024 * 1024;
+
+net::PoolLimits storeLimits() {
+  net::PoolLimits Limits;
+  Limits.MaxConnections = 2;
+  Limits.MaxResponseBytes = MaxAnswerBytes;
+  Limits.ConnectTimeout = std::chrono::milliseconds(600);
+  return Limits;
+}
+
+} // namespace
+
+StoreReader::StoreReader(boost::asio::io_context &Context,
+                         const config::Endpoint &Store,
+                         discovery::StoreDialect Dialect, uint64_t Seed,
+                         StoreReaderCallbacks Handlers)
+    : Context(Context), Dialect(std::move(Dialect)),
+      Handlers(std::move(Handlers)),
+      Pool(std::make_shared<net::HttpPool>(Context, Store, storeLimits())),
+      RetryTimer(Context), Generator(Seed), LastTrouble(Clock::now()) {}
+
+void StoreReader::start() { this->list(); }
+
+void StoreReader::stop() {
+  this->Stopped = true;
+  this->RetryTimer.cancel();
+  this->Pool->cancel(this->Exchange, true);
+  this->Pool->releaseCallbacks();
+}
+
+bool StoreReader::isStable(base::TimePoint Now) const {
+  return this->Healthy && Now - this->LastTrouble >= StableTime;
+}
+
+void StoreReader::restartWatch() {
+  if (this->Stopped || this->Revision == 0 || this->RetryPending) {
+    return;
+  }
+  this->Pool->cancel(this->Exchange, true);
+  this->fail("the watch has missed a change");
+}
+
+void StoreReader::list() {
+  if (this->LastKey.empty()) {
+    this->Partial = {};
+    ++this->Counters.Listings;
+  }
+  this->ask(
+      this->Dialect.ListTarget(this->LastKey), AnswerTimeout,
+      [this](const net::HttpResponse &Response) { this->onPage(Response); });
+}
+
+void StoreReader::watch() {
+  this->ask(
+      this->Dialect.WatchTarget(this->Revision, WatchWait),
+      WatchWait + AnswerTimeout,
+      [this](const net::HttpResponse &Response) { this->onWatch(Response); });
+}
+
+void StoreReader::ask(const std::string &Target, Duration Timeout,
+                      std::function<void(const net::HttpResponse &)> Handle) {
+  if (this->Stopped) {
+    return;
+  }
+  ++this->Counters.Calls;
+  net::HttpRequest Request;
+  Request.Path = Target;
+  this->Exchange = this->Pool->send(
+      std::move(Request), Clock::now() + Timeout, false,
+      [Weak = this->weak_from_this(),
+       Handle = std::move(Handle)](net::ExchangeResult Result) {
+        auto Self = Weak.lock();
+        if (!Self || Self->Stopped) {
+          return;
+        }
+        if (const auto *Response = std::get_if<net::HttpResponse>(&Result)) {
+          Handle(*Response);
+          return;
+        }
+        Self->fail("no answer");
+      });
+}
+
+void StoreReader::onPage(const net::HttpResponse &Response) {
+  if (Response.Status != 200) {
+    this->fail("status " + std::to_string(Response.Status));
+    return;
+  }
+  auto Decoded = this->Dialect.DecodePage(Response.Body);
+  if (!Decoded) {
+    this->fail(Decoded.error().Message);
+    return;
+  }
+  discovery::Page Page = std::move(Decoded.value());
+  // Pages are no snapshot: the watch repeats what changed after the first.
+  if (this->LastKey.empty()) {
+    this->Partial.Revision = Page.Revision;
+  }
+  std::move(Page.Items.begin(), Page.Items.end(),
+            std::back_inserter(this->Partial.Items));
+  if (Page.More && !Page.Last.empty()) {
+    this->LastKey = Page.Last;
+    this->list();
+    return;
+  }
+  this->LastKey.clear();
+  this->Revision = this->Partial.Revision;
+  discovery::Snapshot Whole = std::exchange(this->Partial, {});
+  this->Handlers.OnSnapshot(Whole);
+  this->succeed();
+  this->watch();
+}
+
+void StoreReader::onWatch(const net::HttpResponse &Response) {
+  if (Response.Status == this->Dialect.HistoryGoneStatus) {
+    logEvent(LogLevel::Warning, "store.history_gone",
+             {{"revision", std::to_string(this->Revision)}});
+    this->LastTrouble = Clock::now();
+    this->list();
+    return;
+  }
+  if (Response.Status != 200) {
+    this->fail("status " + std::to_string(Response.Status));
+    return;
+  }
+  auto Decoded = this->Dialect.DecodeChanges(Response.Body);
+  if (!Decoded) {
+    this->fail(Decoded.error().Message);
+    return;
+  }
+  this->Revision = std::max(this->Revision, Decoded.value().Revision);
+  this->Handlers.OnChanges(Decoded.value());
+  this->succeed();
+  this->watch();
+}
+
+void StoreReader::fail(const std::string &Reason) {
+  ++this->Counters.Failures;
+  this->LastTrouble = Clock::now();
+  if (this->Healthy || this->FailuresInRow == 0) {
+    logEvent(
+        LogLevel::Warning, "store.lost",
+        {{"reason", Reason}, {"revision", std::to_string(this->Revision)}});
+  }
+  this->Healthy = false;
+  this->LastKey.clear();
+  this->retryLater();
+}
+
+void StoreReader::succeed() {
+  if (!this->Healthy) {
+    logEvent(LogLevel::Info, "store.regained",
+             {{"revision", std::to_string(this->Revision)}});
+  }
+  this->Healthy = true;
+  this->FailuresInRow = 0;
+}
+
+void StoreReader::retryLater() {
+  uint32_t Doublings = std::min(this->FailuresInRow++, MaxRetryDoublings);
+  Duration Pause = FirstRetry * (1U << Doublings);
+  this->RetryPending = true;
+  this->RetryTimer.expires_after(std::chrono::duration_cast<Duration>(
+      Pause * (0.5 + this->Generator.unit())));
+  this->RetryTimer.async_wait(
+      [Weak = this->weak_from_this()](boost::system::error_code Failure) {
+        auto Self = Weak.lock();
+        if (Failure || !Self || Self->Stopped) {
+          return;
+        }
+        Self->RetryPending = false;
+        if (Self->Revision == 0) {
+          Self->list();
+        } else {
+          Self->watch();
+        }
+      });
+}
+
+} // namespace hickorycrank::daemon
--- /dev/null
+++ b/src/daemon/store_reader_base.h
@@ -0,0 +1,96 @@
+#ifndef HICKORYCRANK_DAEMON_STORE_READER_BASE_H
+#define HICKORYCRANK_DAEMON_STORE_READER_BASE_H
+
+#include "base/random_base.h"
+#include "base/time_type.h"
+#include "config/settings_type.h"
+#include "discovery/item_type.h"
+#include "net/http_pool_base.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace hickorycrank::daemon {
+
+/** What a reader of the platform's store tells its owner. */
+struct StoreReaderCallbacks {
+  std::function<void(const discovery::Snapshot &)> OnSnapshot;
+  std::function<void(const discovery::ChangeSet &)> OnChanges;
+};
+
+/** What a reader counts. */
+struct StoreReaderCounters {
+  uint64_t Calls = 0;
+  uint64_t Failures = 0;
+  uint64_t Listings = 0;
+};
+
+/**
+ * Lists the platform's store, then follows its changes by watches. It runs on
+ * one thread, that of the io_context.
+ */
+class StoreReader : public std::enable_shared_from_this<StoreReader> {
+public:
+  /**
+   * Creates a reader that asks nothing yet.
+   * @param Context Runs the reader.
+   * @param Store The store.
+   * @param Dialect How the store is asked.
+   * @param Seed For jitter.
+   * @param Handlers What to tell the owner.
+   */
+  StoreReader(boost::asio::io_context &Context, const config::Endpoint &Store,
+              discovery::StoreDialect Dialect, uint64_t Seed,
+              StoreReaderCallbacks Handlers);
+
+  /** Begins to list. */
+  void start();
+  /** Ends all calls; the callbacks are not called afterwards. */
+  void stop();
+
+  /** Replaces a watch that has missed a change which another instance saw. */
+  void restartWatch();
+
+  /** @return Whether the last call succeeded. */
+  bool isHealthy() const { return this->Healthy; }
+  /** @param Now Current time. @return Whether nothing has failed for longer
+   * than lapsed entries take to come back. */
+  bool isStable(base::TimePoint Now) const;
+  /** @return What was counted so far. */
+  const StoreReaderCounters &counters() const { return this->Counters; }
+
+private:
+  void list();
+  void watch();
+  void ask(const std::string &Target, base::Duration Timeout,
+           std::function<void(const net::HttpResponse &)> Handle);
+  void onPage(const net::HttpResponse &Response);
+  void onWatch(const net::HttpResponse &Response);
+  void fail(const std::string &Reason);
+  void succeed();
+  void retryLater();
+
+  boost::asio::io_context &Context;
+  discovery::StoreDialect Dialect;
+  StoreReaderCallbacks Handlers;
+  std::shared_ptr<net::HttpPool> Pool;
+  boost::asio::steady_timer RetryTimer;
+  base::Random Generator;
+  discovery::Snapshot Partial; ///< Pages of the listing in progress.
+  std::string LastKey;
+  uint64_t Revision = 0; ///< Last one that was delivered; 0: not listed.
+  uint32_t FailuresInRow = 0;
+  bool Healthy = false;
+  bool Stopped = false;
+  bool RetryPending = false;
+  net::ExchangeId Exchange = 0;
+  base::TimePoint LastTrouble;
+  StoreReaderCounters Counters;
+};
+
+} // namespace hickorycrank::daemon
+
+#endif
--- /dev/null
+++ b/src/forward/engine.cpp
@@ -0,0 +1,199 @@
+#include "forward/engine_base.h"
+
+#include "forward/replica_func.h"
+#include "forward/route_table_func.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorycrank::forward {
+
+using base::Duration;
+using base::TimePoint;
+
+namespace {
+
+/** Time for the final answer to reach the caller before it leaves. */
+constexpr Duration DeliveryMargin = std::chrono::milliseconds(12);
+/** Time in which an instance without a configuration usually learns one. */
+constexpr std::chrono::milliseconds NotReadyRetryAfter(300);
+/** Time in which a lost server is usually back or replaced. */
+constexpr std::chrono::milliseconds NoServerRetryAfter(1'000);
+
+} // namespace
+
+const char *toString(RefusalReason Reason) {
+  switch (Reason) {
+  case RefusalReason::NotReady:
+    return "not_ready";
+  case RefusalReason::NoRoute:
+    return "no_route";
+  case RefusalReason::NoServer:
+    return "no_server";
+  case RefusalReason::Overloaded:
+    return "overloaded";
+  case RefusalReason::Quarantined:
+    return "quarantined";
+  case RefusalReason::Timeout:
+    return "timeout";
+  case RefusalReason::BackendFailed:
+    return "backend_failed";
+  }
+  return "unknown";
+}
+
+Engine::Engine(EngineOptions Options, uint64_t Seed)
+    : Options(std::move(Options)), Generator(Seed) {}
+
+bool Engine::onRoutes(std::shared_ptr<const RouteTable> Newer) {
+  if (this->Table && Newer->Version <= this->Table->Version) {
+    return false;
+  }
+  this->Table = std::move(Newer);
+  for (const auto &[Name, Spec] : this->Table->Services) {
+    this->Servers.pool(Name).MaxConnections = Spec.MaxConnections;
+  }
+  std::erase_if(this->Turns, [&](const auto &Entry) {
+    return std::none_of(
+        this->Table->Routes.begin(), this->Table->Routes.end(),
+        [&](const Route &Known) { return Known.Name == Entry.first; });
+  });
+  return true;
+}
+
+void Engine::onServers(TimePoint Now, const std::vector<ServerEntry> &Entries,
+                       Actions &Out) {
+  for (ServerKey Ended : this->Servers.apply(Now, Entries)) {
+    Out.push_back(ForgetServer{Ended});
+  }
+}
+
+void Engine::onInstances(size_t Count) {
+  this->Instances = std::max<size_t>(1, Count);
+}
+
+CallId Engine::onRequest(TimePoint Now, const CallRequest &Request,
+                         Actions &Out) {
+  CallId Id(this->NextCall++);
+  ++this->Counters.Calls;
+  if (!this->Table) {
+    this->refuse(Id, {RefusalReason::NotReady, false, NotReadyRetryAfter}, Out);
+    return Id;
+  }
+  const Route *Source = findRoute(*this->Table, Request.Host, Request.Target);
+  if (Source == nullptr) {
+    this->refuse(Id, {RefusalReason::NoRoute, false, std::nullopt}, Out);
+    return Id;
+  }
+  if (this->Crashes.isQuarantined(Now, Request.Content)) {
+    this->refuse(Id, {RefusalReason::Quarantined, false, std::nullopt}, Out);
+    return Id;
+  }
+  auto Owned = std::make_unique<Call>();
+  Call &Target = *Owned;
+  Target.Id = Id;
+  Target.Table = this->Table;
+  Target.Source = Source;
+  Target.ArrivedAt = Now;
+  Target.Content = Request.Content;
+  Duration Allowed = std::min<Duration>(Request.Remaining, Source->Timeout);
+  Target.Deadline = Now + std::max(Allowed - DeliveryMargin, Allowed / 2);
+  if (Source->fansOut()) {
+    Target.Parts.resize(Source->Shards.size());
+    for (size_t I = 0; I < Source->Shards.size(); ++I) {
+      Target.Parts[I].Pool = &this->Servers.pool(Source->Shards[I]);
+    }
+  } else {
+    Target.Parts.resize(1);
+    Target.Parts[0].Pool = &this->Servers.pool(this->chooseService(*Source));
+  }
+  this->Calls[Id.Value] = std::move(Owned);
+  for (Part &Needed : Target.Parts) {
+    Needed.Pool->Budget.recordRequest(Now);
+  }
+  if (this->refuseUnservable(Target, Out)) {
+    return Id;
+  }
+  this->advance(Now, Target, Out);
+  return Id;
+}
+
+const std::string &Engine::chooseService(const Route &Source) {
+  if (Source.Choices.size() == 1) {
+    return Source.Choices.front().Service;
+  }
+  // Smooth weighted round-robin keeps each share exact over short spans.
+  auto &Shares = this->Turns[Source.Name];
+  double Total = 0;
+  const WeightedService *Best = nullptr;
+  for (const WeightedService &Choice : Source.Choices) {
+    Total += Choice.Weight;
+    Shares[Choice.Service] += Choice.Weight;
+    if (Best == nullptr || Shares[Choice.Service] > Shares[Best->Service]) {
+      Best = &Choice;
+    }
+  }
+  Shares[Best->Service] -= Total;
+  return Best->Service;
+}
+
+void Engine::refuse(CallId Id, const Refusal &Reason, Actions &Out) {
+  ++this->Counters.Refusals[static_cast<size_t>(Reason.Reason)];
+  Out.push_back(RespondCall{Id, Reason});
+}
+
+bool Engine::refuseUnservable(Call &Target, Actions &Out) {
+  auto Usable = std::count_if(
+      Target.Parts.begin(), Target.Parts.end(),
+      [](const Part &Needed) { return hasUsableReplica(*Needed.Pool); });
+  size_t Required =
+      Target.Source->fansOut() ? requiredShards(*Target.Source) : 1;
+  if (static_cast<size_t>(Usable) >= Required) {
+    return false;
+  }
+  this->refuse(Target.Id, {RefusalReason::NoServer, false, NoServerRetryAfter},
+               Out);
+  this->Calls.erase(Target.Id.Value);
+  return true;
+}
+
+void Engine::onQuarantine(TimePoint Now, base::Fingerprint Content) {
+  this->Crashes.quarantine(Now, Content);
+}
+
+void Engine::onCallerGone(TimePoint Now, CallId Id, Actions &Out) {
+  Call *Target = this->find(Id.Value);
+  if (Target == nullptr) {
+    return;
+  }
+  ++this->Counters.CallersGone;
+  for (uint32_t I = 0; I < Target->Parts.size(); ++I) {
+    this->abandonOthers(Now, *Target, Target->Parts[I], I, Out);
+  }
+  this->Calls.erase(Id.Value);
+}
+
+void Engine::onTick(TimePoint Now, Actions &Out) {
+  while (!this->Wakes.empty() && this->Wakes.top().When <= Now) {
+    Wake Due = this->Wakes.top();
+    this->Wakes.pop();
+    Call *Target = this->find(Due.Id.Value);
+    if (Target == nullptr || Target->NextWake != Due.When) {
+      continue;
+    }
+    Target->NextWake = TimePoint::max();
+    this->advance(Now, *Target, Out);
+  }
+  this->Crashes.expire(Now);
+}
+
+TimePoint Engine::nextWake() const {
+  return this->Wakes.empty() ? TimePoint::max() : this->Wakes.top().When;
+}
+
+Call *Engine::find(uint64_t Id) {
+  auto Found = this->Calls.find(Id);
+  return Found == this->Calls.end() ? nullptr : Found->second.get();
+}
+
+} // namespace hickorycrank::forward
--- /dev/null
+++ b/src/forward/engine_attempts.cpp
@@ -0,0 +1,341 @@
+#include "forward/engine_base.h"
+#include "forward/replica_func.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorycrank::forward {
+
+using base::Duration;
+using base::TimePoint;
+
+namespace {
+
+/** Delay of a hedge relative to the usual latency: few replies but those of
+ * paused or slow servers take longer. */
+constexpr double HedgeFactor = 2.0;
+/** Bounds of the delay of a hedge, as shares of the route's target. */
+constexpr double MinHedgeShare = 0.12;
+constexpr double MaxHedgeShare = 0.4;
+/** Usual latency of a route before any reply, as a share of its target. */
+constexpr double AssumedLatencyShare = 0.2;
+/** Pause before a part looks for a free server again. */
+constexpr Duration BusyPause = std::chrono::milliseconds(5);
+/** Pause before a part that the budget holds back asks again. */
+constexpr Duration BudgetPause = std::chrono::milliseconds(50);
+/** Pause before a broken attempt is repeated. A request that crashes servers
+ * breaks its other attempts within this time. */
+constexpr Duration BrokenPause = std::chrono::milliseconds(6);
+/** Pause before the second retry; doubles with each further one. */
+constexpr Duration RetryPause = std::chrono::milliseconds(20);
+constexpr uint32_t MaxRetryDoublings = 5;
+/** Retries of a part beyond its first attempts. */
+constexpr uint32_t MaxRetries = 4;
+/** Share of the shards whose attempts broke at which a call is taken for one
+ * that crashes servers and is not sent again. */
+constexpr double CrashShare = 0.5;
+constexpr size_t MinCrashShards = 4;
+/** Connections that are left for others, such as an instance just started. */
+constexpr double ConnectionReserve = 0.9;
+
+/** @return Whether so many parts broke that the request itself is suspect. */
+bool looksLikeCrash(const Call &Owner) {
+  auto Broken =
+      std::count_if(Owner.Parts.begin(), Owner.Parts.end(),
+                    [](const Part &Entry) { return Entry.Broken > 0; });
+  auto Count = static_cast<size_t>(Broken);
+  return Count >= MinCrashShards &&
+         static_cast<double>(Count) >=
+             CrashShare * static_cast<double>(Owner.Parts.size());
+}
+
+bool isSuccess(const Reply &Received) {
+  return Received.Status >= 200 && Received.Status < 300 &&
+         !Received.Signature.empty();
+}
+
+/** @return Whether another server may give a better reply. */
+bool isServerFault(const Reply &Received) {
+  return Received.Status >= 500 ||
+         (Received.Status < 300 && Received.Signature.empty());
+}
+
+} // namespace
+
+Duration Engine::usualLatency(const Route &Source) {
+  auto Default =
+      std::chrono::duration_cast<Duration>(Source.Target * AssumedLatencyShare);
+  return this->Latencies[Source.Name].quantile(0.5, Default);
+}
+
+Duration Engine::hedgeDelay(const Route &Source) {
+  auto Usual = std::chrono::duration_cast<Duration>(this->usualLatency(Source) *
+                                                    HedgeFactor);
+  auto Least =
+      std::chrono::duration_cast<Duration>(Source.Target * MinHedgeShare);
+  auto Most =
+      std::chrono::duration_cast<Duration>(Source.Target * MaxHedgeShare);
+  return std::clamp(Usual, Least, Most);
+}
+
+uint32_t Engine::maxOutstanding(const ServicePool &Pool) const {
+  double Share = Pool.MaxConnections * ConnectionReserve /
+                 static_cast<double>(this->Instances);
+  return std::max(1U, static_cast<uint32_t>(Share));
+}
+
+uint32_t Engine::connectionShare(ServerKey Key) {
+  Server *Target = this->Servers.find(Key);
+  return Target == nullptr
+             ? 1
+             : this->maxOutstanding(this->Servers.pool(Target->Entry.Service));
+}
+
+Server *Engine::choose(TimePoint Now, const Call &Owner, const Part &Target,
+                       bool AvoidTried) {
+  boost::container::small_vector<ServerKey, 4> Tried;
+  if (AvoidTried) {
+    for (const Attempt &Entry : Target.Attempts) {
+      Tried.push_back(Entry.Server);
+    }
+  }
+  ReplicaRequest Wanted;
+  Wanted.Now = Now;
+  Wanted.Expected = this->usualLatency(*Owner.Source);
+  Wanted.Domain = this->Options.Domain;
+  Wanted.MaxOutstanding = this->maxOutstanding(*Target.Pool);
+  Wanted.Avoid = {Tried.data(), Tried.size()};
+  Wanted.Idempotent = Owner.Source->Idempotent;
+  return chooseReplica(*Target.Pool, Wanted, this->Generator);
+}
+
+void Engine::startAttempt(TimePoint Now, Call &Owner, uint32_t Index,
+                          Actions &Out) {
+  Part &Target = Owner.Parts[Index];
+  Server *To = nullptr;
+  if (Target.Distinct < Owner.Source->MaxAttempts) {
+    To = this->choose(Now, Owner, Target, true);
+    if (To == nullptr) {
+      To = this->choose(Now, Owner, Target, false);
+    }
+  } else {
+    for (const Attempt &Entry : Target.Attempts) {
+      Server *Tried = this->Servers.find(Entry.Server);
+      if (Tried != nullptr && !Tried->Entry.Leaving && !Tried->Misdirected) {
+        To = Tried;
+      }
+    }
+  }
+  if (To == nullptr) {
+    bool Possible = Target.Distinct < Owner.Source->MaxAttempts &&
+                    hasUsableReplica(*Target.Pool);
+    if (!Possible) {
+      Target.Phase = PartPhase::Failed;
+      ++Owner.Failed;
+      return;
+    }
+    Target.WakeAt = Now + BusyPause;
+    return;
+  }
+  if (Target.Arrivals > 0) {
+    if (!Target.Pool->Budget.tryTake(limits::ExtraKind::Retry,
+                                     this->Options.Extra, this->Instances,
+                                     Now)) {
+      ++this->Counters.RetriesDenied;
+      Target.WakeAt = Now + BudgetPause;
+      return;
+    }
+    ++this->Counters.Retries;
+  }
+  this->send(Now, Owner, Index, *To, Out);
+}
+
+void Engine::send(TimePoint Now, Call &Owner, uint32_t Index, Server &To,
+                  Actions &Out) {
+  Part &Target = Owner.Parts[Index];
+  bool New = std::none_of(
+      Target.Attempts.begin(), Target.Attempts.end(),
+      [&](const Attempt &Entry) { return Entry.Server == To.Key; });
+  AttemptRef Ref{Owner.Id.Value, Index,
+                 static_cast<uint32_t>(Target.Attempts.size())};
+  Target.Attempts.push_back({To.Key, Now, true});
+  Target.Distinct += New ? 1 : 0;
+  ++Target.Arrivals;
+  ++Target.PossiblyRun;
+  Target.Phase = PartPhase::InFlight;
+  Target.WakeAt = Now + this->hedgeDelay(*Owner.Source);
+  To.Outstanding.push_back({Ref, Now, this->usualLatency(*Owner.Source)});
+  ++this->Counters.Attempts;
+  Out.push_back(SendAttempt{Ref, To.Key, To.Entry.Id, To.Entry.Address,
+                            Owner.Deadline - Now, Owner.Source->Idempotent});
+}
+
+void Engine::hedge(TimePoint Now, Call &Owner, uint32_t Index, Actions &Out) {
+  Part &Target = Owner.Parts[Index];
+  if (!Owner.Source->Idempotent || Target.Hedged ||
+      Target.Distinct >= Owner.Source->MaxAttempts || looksLikeCrash(Owner) ||
+      this->Crashes.isQuarantined(Now, Owner.Content)) {
+    Target.WakeAt = TimePoint::max();
+    return;
+  }
+  Server *To = this->choose(Now, Owner, Target, true);
+  if (To == nullptr || isStalled(Now, *To)) {
+    Target.WakeAt = Now + BusyPause;
+    return;
+  }
+  if (!Target.Pool->Budget.tryTake(limits::ExtraKind::Hedge,
+                                   this->Options.Extra, this->Instances, Now)) {
+    ++this->Counters.HedgesDenied;
+    Target.WakeAt = Now + BudgetPause;
+    return;
+  }
+  ++this->Counters.Hedges;
+  Target.Hedged = true;
+  this->send(Now, Owner, Index, *To, Out);
+  Target.WakeAt = TimePoint::max();
+}
+
+void Engine::retryOrFail(TimePoint Now, Call &Owner, uint32_t Index,
+                         Actions &Out) {
+  Part &Target = Owner.Parts[Index];
+  bool Live = std::any_of(Target.Attempts.begin(), Target.Attempts.end(),
+                          [](const Attempt &Entry) { return Entry.Live; });
+  if (Live) {
+    return;
+  }
+  bool MayRepeat = Owner.Source->Idempotent || Target.PossiblyRun == 0;
+  if (!MayRepeat || Target.Retries >= MaxRetries || looksLikeCrash(Owner) ||
+      this->Crashes.isQuarantined(Now, Owner.Content)) {
+    Target.Phase = PartPhase::Failed;
+    ++Owner.Failed;
+    return;
+  }
+  ++Target.Retries;
+  Target.Phase = PartPhase::Waiting;
+  Target.WakeAt = Now;
+  if (Target.Retries > 1) {
+    uint32_t Doublings = std::min(Target.Retries - 2, MaxRetryDoublings);
+    Duration Pause = RetryPause * (1U << Doublings);
+    Target.WakeAt += std::chrono::duration_cast<Duration>(
+        Pause * (0.5 + 0.5 * this->Generator.unit()));
+  } else if (Target.Broken > 0 && Owner.Source->fansOut()) {
+    Target.WakeAt += BrokenPause;
+  }
+  if (Target.WakeAt <= Now) {
+    this->startAttempt(Now, Owner, Index, Out);
+  }
+}
+
+void Engine::abandonOthers(TimePoint, Call &Owner, Part &Target, uint32_t Index,
+                           Actions &Out) {
+  for (uint32_t I = 0; I < Target.Attempts.size(); ++I) {
+    Attempt &Entry = Target.Attempts[I];
+    if (!Entry.Live) {
+      continue;
+    }
+    Entry.Live = false;
+    Out.push_back(AbandonAttempt{{Owner.Id.Value, Index, I}, Entry.Server});
+  }
+}
+
+void Engine::onReply(TimePoint Now, const AttemptRef &Ref, ServerKey From,
+                     Reply &&Received, Actions &Out) {
+  Call *Owner = this->find(Ref.Call);
+  Server *Source = this->Servers.find(From);
+  bool Refused = Received.NotExecuted || Received.Misdirected;
+  if (Source != nullptr) {
+    bool Good = Received.Status < 500 && !Received.Signature.empty();
+    AttemptOutcome Outcome = Refused ? AttemptOutcome::Shed
+                             : Good  ? AttemptOutcome::Succeeded
+                                     : AttemptOutcome::Failed;
+    settleAttempt(Now, *Source, Ref, Outcome);
+    Source->Misdirected = Source->Misdirected || Received.Misdirected;
+    if (Received.Load) {
+      recordLoad(Now, *Source, *Received.Load);
+    }
+  }
+  this->Counters.Shed += Received.NotExecuted ? 1 : 0;
+  this->Counters.Misdirected += Received.Misdirected ? 1 : 0;
+  if (Owner == nullptr || !Owner->Parts[Ref.Part].Attempts[Ref.Attempt].Live) {
+    ++this->Counters.LateReplies;
+    return;
+  }
+  Part &Target = Owner->Parts[Ref.Part];
+  Attempt &Ended = Target.Attempts[Ref.Attempt];
+  Ended.Live = false;
+  if (!isSuccess(Received)) {
+    this->takeError(Now, *Owner, Ref, std::move(Received), Out);
+    this->advance(Now, *Owner, Out);
+    return;
+  }
+  this->Latencies[Owner->Source->Name].record(Now - Ended.SentAt);
+  Target.Phase = PartPhase::Answered;
+  Target.Result = std::move(Received);
+  ++Owner->Answered;
+  this->abandonOthers(Now, *Owner, Target, Ref.Part, Out);
+  this->advance(Now, *Owner, Out);
+}
+
+void Engine::takeError(TimePoint Now, Call &Owner, const AttemptRef &Ref,
+                       Reply &&Received, Actions &Out) {
+  Part &Target = Owner.Parts[Ref.Part];
+  if (Received.NotExecuted || Received.Misdirected) {
+    --Target.PossiblyRun;
+    Target.Distinct -= Received.Misdirected ? 1 : 0;
+    this->retryOrFail(Now, Owner, Ref.Part, Out);
+    return;
+  }
+  ++this->Counters.ServerErrors;
+  bool Final = !Owner.Source->fansOut() && !isServerFault(Received);
+  if (!Received.Signature.empty()) {
+    Target.Error = std::move(Received);
+  }
+  if (Final) {
+    this->abandonOthers(Now, Owner, Target, Ref.Part, Out);
+    Target.Phase = PartPhase::Failed;
+    ++Owner.Failed;
+    return;
+  }
+  this->retryOrFail(Now, Owner, Ref.Part, Out);
+}
+
+void Engine::onFailure(TimePoint Now, const AttemptRef &Ref, ServerKey From,
+                       AttemptFailure Kind, Actions &Out) {
+  Call *Owner = this->find(Ref.Call);
+  Server *Source = this->Servers.find(From);
+  bool Unsent = Kind == AttemptFailure::NotSent;
+  ++(Unsent ? this->Counters.NotSent : this->Counters.Broken);
+  if (Source != nullptr) {
+    settleAttempt(Now, *Source, Ref,
+                  Unsent ? AttemptOutcome::ConnectFailed
+                         : AttemptOutcome::Failed);
+  }
+  if (Unsent) {
+    this->Crashes.recordUnreachable(Now, From);
+  } else if (Owner != nullptr) {
+    this->Crashes.recordBroken(Now, From, Ref.Call, Owner->Content);
+  }
+  if (Owner == nullptr || !Owner->Parts[Ref.Part].Attempts[Ref.Attempt].Live) {
+    return;
+  }
+  Part &Target = Owner->Parts[Ref.Part];
+  Target.Attempts[Ref.Attempt].Live = false;
+  if (Unsent) {
+    --Target.PossiblyRun;
+    --Target.Arrivals;
+    --Target.Distinct;
+  } else {
+    ++Target.Broken;
+  }
+  this->retryOrFail(Now, *Owner, Ref.Part, Out);
+  this->advance(Now, *Owner, Out);
+}
+
+void Engine::onAbandonedEnd(TimePoint Now, const AttemptRef &Ref,
+                            ServerKey From) {
+  if (Server *Source = this->Servers.find(From)) {
+    settleAttempt(Now, *Source, Ref, AttemptOutcome::Abandoned);
+  }
+}
+
+} // namespace hickorycrank::forward
--- /dev/null
+++ b/src/forward/route_table_func.h
@@ -0,0 +1,30 @@
+#ifndef HICKORYCRANK_FORWARD_ROUTE_TABLE_FUNC_H
+#define HICKORYCRANK_FORWARD_ROUTE_TABLE_FUNC_H
+
+#include "forward/route_type.h"
+
+#include <string_view>
+
+namespace hickorycrank::forward {
+
+/**
+ * Finds the route of a request: the longest prefix of the path among the
+ * routes of the host.
+ * @param Table The configuration.
+ * @param Host Value of the Host header; a port is ignored.
+ * @param Target Request target; what follows '?' is ignored.
+ * @return The route, or nullptr.
+ */
+const Route *findRoute(const RouteTable &Table, std::string_view Host,
+                       std::string_view Target);
+
+/**
+ * Counts the shards that an answer needs.
+ * @param Source A route that fans out.
+ * @return Smallest number of shards whose share is at least MinShardShare.
+ */
+size_t requiredShards(const Route &Source);
+
+} // namespace hickorycrank::forward
+
+#endif
--- /dev/null
+++ b/src/net/fleet_codec_func.cpp
@@ -0,0 +1,151 @@
+#include "net/fleet_codec_func.h"
+
+#include "config/settings_func.h"
+
+#include <fleet_types.h>
+#include <memory>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace hickorycrank::net {
+
+using apache::thrift::TConfiguration;
+using apache::thrift::TException;
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+using base::Error;
+using base::ErrorKind;
+
+namespace {
+
+constexpr int RecursionLimit = 16;
+/** More than any deployment has; bounds what a wrong sender can cost. */
+constexpr size_t MaxListedPeers = 256;
+constexpr size_t MaxQuarantined = 256;
+constexpr size_t MaxItems = 65'536;
+
+template <typename Message> std::string encode(const Message &Source) {
+  auto Buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocol Protocol(Buffer);
+  Source.write(&Protocol);
+  return Buffer->getBufferAsString();
+}
+
+template <typename Message>
+base::Result<Message> decode(std::string_view Bytes, const char *Name) {
+  auto Limits = std::make_shared<TConfiguration>(
+      static_cast<int>(Bytes.size()) + 1, static_cast<int>(Bytes.size()) + 1,
+      RecursionLimit);
+  // The buffer is only read.
+  auto *Data =
+      const_cast<uint8_t *>(reinterpret_cast<const uint8_t *>(Bytes.data()));
+  auto Buffer =
+      std::make_shared<TMemoryBuffer>(Data, static_cast<uint32_t>(Bytes.size()),
+                                      TMemoryBuffer::OBSERVE, Limits);
+  TCompactProtocol Protocol(Buffer);
+  Message Decoded;
+  try {
+    Decoded.read(&Protocol);
+  } catch (const TException &Failure) {
+    return Error{ErrorKind::Protocol, std::string(Name) + ": " +
+                                          Failure.what() +
+                                          "; run one release on all instances"};
+  } catch (const std::bad_alloc &) {
+    return Error{ErrorKind::TooLarge,
+                 std::string(Name) + ": states more than it holds"};
+  }
+  return Decoded;
+}
+
+} // namespace
+
+std::string encodeHeartbeat(const fleet::Heartbeat &Source) {
+  gen::Heartbeat Wire;
+  Wire.address = Source.Address;
+  Wire.control = Source.Control;
+  Wire.incarnation = static_cast<int64_t>(Source.Process.Value);
+  Wire.leaving = Source.Leaving;
+  Wire.changedAt = static_cast<int64_t>(Source.ChangedAt);
+  Wire.storeHealthy = Source.StoreHealthy;
+  Wire.peers = Source.Peers;
+  for (base::Fingerprint Content : Source.Quarantined) {
+    Wire.quarantined.push_back(static_cast<int64_t>(Content.Value));
+  }
+  return encode(Wire);
+}
+
+base::Result<fleet::Heartbeat> decodeHeartbeat(std::string_view Bytes) {
+  auto Decoded = decode<gen::Heartbeat>(Bytes, "heartbeat");
+  if (!Decoded) {
+    return Decoded.error();
+  }
+  const gen::Heartbeat &Wire = Decoded.value();
+  bool Valid = config::parseEndpoint(Wire.address) &&
+               config::parseEndpoint(Wire.control) &&
+               Wire.peers.size() <= MaxListedPeers &&
+               Wire.quarantined.size() <= MaxQuarantined;
+  if (!Valid) {
+    return Error{ErrorKind::Protocol, "heartbeat: a field is out of range"};
+  }
+  fleet::Heartbeat Result;
+  Result.Address = Wire.address;
+  Result.Control = Wire.control;
+  Result.Process = base::Incarnation(static_cast<uint64_t>(Wire.incarnation));
+  Result.Leaving = Wire.leaving;
+  Result.ChangedAt = static_cast<uint64_t>(Wire.changedAt);
+  Result.StoreHealthy = Wire.storeHealthy;
+  for (const std::string &Peer : Wire.peers) {
+    if (config::parseEndpoint(Peer)) {
+      Result.Peers.push_back(Peer);
+    }
+  }
+  for (int64_t Content : Wire.quarantined) {
+    Result.Quarantined.emplace_back(static_cast<uint64_t>(Content));
+  }
+  return Result;
+}
+
+std::string encodeSnapshot(const discovery::Snapshot &Source) {
+  gen::ViewSnapshot Wire;
+  Wire.revision = static_cast<int64_t>(Source.Revision);
+  Wire.changedAt = static_cast<int64_t>(Source.ChangedAt);
+  for (const discovery::Item &Entry : Source.Items) {
+    gen::SnapshotItem Item;
+    Item.kind = static_cast<int32_t>(Entry.Kind);
+    Item.name = Entry.Name;
+    Item.value = Entry.Value;
+    Item.revision = static_cast<int64_t>(Entry.Revision);
+    Wire.items.push_back(std::move(Item));
+  }
+  return encode(Wire);
+}
+
+base::Result<discovery::Snapshot> decodeSnapshot(std::string_view Bytes) {
+  auto Decoded = decode<gen::ViewSnapshot>(Bytes, "snapshot");
+  if (!Decoded) {
+    return Decoded.error();
+  }
+  gen::ViewSnapshot Wire = std::move(Decoded.value());
+  if (Wire.items.size() > MaxItems) {
+    return Error{ErrorKind::TooLarge, "snapshot: too many items"};
+  }
+  discovery::Snapshot Result;
+  Result.Revision = static_cast<uint64_t>(Wire.revision);
+  Result.ChangedAt = static_cast<uint64_t>(Wire.changedAt);
+  for (gen::SnapshotItem &Entry : Wire.items) {
+    bool Server =
+        Entry.kind == static_cast<int32_t>(discovery::ItemKind::Server);
+    bool Configuration =
+        Entry.kind == static_cast<int32_t>(discovery::ItemKind::Configuration);
+    if (!Server && !Configuration) {
+      continue; // A newer release may know more kinds.
+    }
+    Result.Items.push_back({Server ? discovery::ItemKind::Server
+                                   : discovery::ItemKind::Configuration,
+                            std::move(Entry.name), std::move(Entry.value),
+                            static_cast<uint64_t>(Entry.revision)});
+  }
+  return Result;
+}
+
+} // namespace hickorycrank::net
--- /dev/null
+++ b/src/net/forward_header_func.h
@@ -0,0 +1,37 @@
+#ifndef HICKORYCRANK_NET_FORWARD_HEADER_FUNC_H
+#define HICKORYCRANK_NET_FORWARD_HEADER_FUNC_H
+
+#include "base/time_type.h"
+#include "forward/call_type.h"
+
+#include <boost/beast/http/fields.hpp>
+#include <optional>
+#include <string_view>
+
+namespace hickorycrank::net {
+
+/**
+ * Copies the header fields that are not limited to one connection.
+ * @param Source Fields of a message.
+ * @return The others than those of RFC 9110, section 7.6.1, those that
+ *   Connection names, and those that frame the body.
+ */
+forward::HeaderFields endToEndFields(const boost::beast::http::fields &Source);
+
+/**
+ * Reads a Keep-Alive field.
+ * @param Text Value of the field.
+ * @return Idle time that the sender allows, or nothing.
+ */
+std::optional<base::Duration> parseKeepAlive(std::string_view Text);
+
+/**
+ * Reads a load report.
+ * @param Text Running, waiting and slots, separated by commas.
+ * @return The report, or nothing if it cannot be read.
+ */
+std::optional<forward::LoadReport> parseLoad(std::string_view Text);
+
+} // namespace hickorycrank::net
+
+#endif
--- /dev/null
+++ b/src/net/forward_session.cpp
@@ -0,0 +1,261 @@
+#include "net/forward_session_base.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/write.hpp>
+#include <string>
+#include <utility>
+
+namespace hickorycrank::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+/** Time that input is read after the last response, so that unread bytes do
+ * not reset the connection before the caller has the response. */
+constexpr base::Duration LingerTime = std::chrono::milliseconds(1'000);
+/** Time for a response to be taken by the caller. */
+constexpr base::Duration WriteTimeout = std::chrono::seconds(15);
+/** Input kept while a request is in progress; more closes the connection. */
+constexpr size_t MaxPipelinedBytes = 64 * 1024;
+constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+
+} // namespace
+
+ForwardSession::ForwardSession(tcp::socket Socket,
+                               std::shared_ptr<ForwardServer::State> Server)
+    : Socket(std::move(Socket)), Server(std::move(Server)),
+      PhaseSince(base::Clock::now()) {}
+
+void ForwardSession::start() { this->read(); }
+
+void ForwardSession::read() {
+  if (this->ReadPending || this->Phase == SessionPhase::Closed) {
+    return;
+  }
+  this->ReadPending = true;
+  this->Socket.async_read_some(asio::buffer(this->Chunk),
+                               [Self = this->shared_from_this()](
+                                   beast::error_code Failure, size_t Count) {
+                                 Self->ReadPending = false;
+                                 Self->onRead(Failure, Count);
+                               });
+}
+
+void ForwardSession::onRead(beast::error_code Failure, size_t Count) {
+  if (this->Phase == SessionPhase::Closed) {
+    return;
+  }
+  if (Failure) {
+    this->onEnd();
+    return;
+  }
+  if (this->Phase == SessionPhase::Lingering) {
+    this->read();
+    return;
+  }
+  auto Room = this->Buffer.prepare(Count);
+  asio::buffer_copy(Room, asio::buffer(this->Chunk, Count));
+  this->Buffer.commit(Count);
+  if (this->Phase == SessionPhase::Idle) {
+    this->enter(SessionPhase::Reading);
+  }
+  if (this->Phase == SessionPhase::Reading) {
+    this->parse();
+  } else if (this->Buffer.size() > MaxPipelinedBytes) {
+    this->onEnd();
+    return;
+  }
+  this->read();
+}
+
+void ForwardSession::parse() {
+  if (!this->Current) {
+    this->Current.emplace();
+    this->Current->eager(true);
+    this->Current->header_limit(this->Server->Limits.MaxHeaderBytes);
+    this->Current->body_limit(this->Server->Limits.MaxBodyBytes);
+    this->ContinueSent = false;
+  }
+  beast::error_code Failure;
+  while (!this->Current->is_done() && this->Buffer.size() > 0 && !Failure) {
+    size_t Used = this->Current->put(this->Buffer.data(), Failure);
+    this->Buffer.consume(Used);
+    if (Used == 0 && !Failure) {
+      break;
+    }
+  }
+  if (Failure == http::error::need_more) {
+    Failure = {};
+  }
+  if (Failure == http::error::body_limit) {
+    ++this->Server->Counters.TooLarge;
+    this->reject(413);
+    return;
+  }
+  if (Failure == http::error::header_limit ||
+      Failure == http::error::buffer_overflow) {
+    ++this->Server->Counters.TooLarge;
+    this->reject(431);
+    return;
+  }
+  if (Failure) {
+    ++this->Server->Counters.Malformed;
+    this->reject(400);
+    return;
+  }
+  if (this->Current->is_done()) {
+    this->dispatch();
+    return;
+  }
+  if (this->Current->is_header_done() && !this->ContinueSent &&
+      beast::iequals(this->Current->get()[http::field::expect],
+                     "100-continue")) {
+    this->ContinueSent = true;
+    beast::error_code Ignored; // A broken connection shows at the next read.
+    asio::write(this->Socket, asio::buffer(ContinueResponse), Ignored);
+  }
+}
+
+void ForwardSession::dispatch() {
+  ForwardRequest Request = this->Current->release();
+  this->Current.reset();
+  this->KeepAlive = Request.keep_alive();
+  this->Head = Request.method() == http::verb::head;
+  this->enter(SessionPhase::Answering);
+  ++this->Server->InProgress;
+  ++this->Server->Counters.Requests;
+  this->Token = this->Server->NextToken++;
+  this->Server->Waiting[this->Token] = this;
+  this->Server->Handlers.OnRequest(this->Token, std::move(Request));
+}
+
+void ForwardSession::respond(ForwardResponse &&Response) {
+  this->Server->Waiting.erase(this->Token);
+  --this->Server->InProgress;
+  this->write(std::move(Response));
+}
+
+void ForwardSession::reject(unsigned Status) {
+  this->Current.reset();
+  this->KeepAlive = false;
+  this->write(ForwardResponse(http::int_to_status(Status), 11));
+}
+
+void ForwardSession::write(ForwardResponse &&Response) {
+  this->Outgoing.emplace(std::move(Response));
+  bool Keep = this->KeepAlive && !this->Server->Closing;
+  this->Outgoing->version(11);
+  this->Outgoing->keep_alive(Keep);
+  if (this->Head) {
+    this->Outgoing->body().clear();
+  } else {
+    this->Outgoing->content_length(this->Outgoing->body().size());
+  }
+  this->enter(SessionPhase::Writing);
+  http::async_write(this->Socket, *this->Outgoing,
+                    [Self = this->shared_from_this(),
+                     Keep](beast::error_code Failure, size_t) {
+                      if (Failure) {
+                        Self->close();
+                        return;
+                      }
+                      Self->onWritten(Keep);
+                    });
+}
+
+void ForwardSession::onWritten(bool Keep) {
+  if (this->Phase == SessionPhase::Closed) {
+    return;
+  }
+  this->Outgoing.reset();
+  if (!Keep) {
+    beast::error_code Ignored; // The caller may have closed it already.
+    this->Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+    this->enter(SessionPhase::Lingering);
+    this->read();
+    return;
+  }
+  this->enter(SessionPhase::Idle);
+  if (this->Server->Stopped) {
+    this->close();
+    return;
+  }
+  if (this->Buffer.size() > 0) {
+    this->enter(SessionPhase::Reading);
+    this->parse();
+  }
+  this->read();
+}
+
+void ForwardSession::onEnd() {
+  if (this->Phase == SessionPhase::Answering) {
+    ++this->Server->Counters.CallersGone;
+    this->Server->Waiting.erase(this->Token);
+    --this->Server->InProgress;
+    this->Server->Handlers.OnCallerGone(this->Token);
+  }
+  this->close();
+}
+
+void ForwardSession::close() {
+  if (this->Phase == SessionPhase::Closed) {
+    return;
+  }
+  this->enter(SessionPhase::Closed);
+  beast::error_code Ignored;
+  this->Socket.close(Ignored);
+  this->Server->Sessions.erase(this->shared_from_this());
+}
+
+void ForwardSession::closeIfIdle() {
+  if (this->Phase == SessionPhase::Idle) {
+    this->close();
+  }
+}
+
+void ForwardSession::sweep(base::TimePoint Now) {
+  base::Duration Age = Now - this->PhaseSince;
+  switch (this->Phase) {
+  case SessionPhase::Idle:
+    if (Age > this->Server->Limits.IdleTimeout) {
+      ++this->Server->Counters.IdleClosed;
+      this->close();
+    }
+    break;
+  case SessionPhase::Reading:
+    // A body may take as long as an idle connection may stay open.
+    if (Age > (this->Current && this->Current->is_header_done()
+                   ? this->Server->Limits.IdleTimeout
+                   : this->Server->Limits.HeaderTimeout)) {
+      ++this->Server->Counters.HeaderTimeouts;
+      this->close();
+    }
+    break;
+  case SessionPhase::Writing:
+    if (Age > WriteTimeout) {
+      this->close();
+    }
+    break;
+  case SessionPhase::Lingering:
+    if (Age > LingerTime) {
+      this->close();
+    }
+    break;
+  case SessionPhase::Answering:
+  case SessionPhase::Closed:
+    break;
+  }
+}
+
+void ForwardSession::enter(SessionPhase Next) {
+  this->Phase = Next;
+  this->PhaseSince = base::Clock::now();
+}
+
+} // namespace hickorycrank::net
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -67,8 +67,7 @@
   }
   beast::error_code Ignored;
   this->Stream.socket().set_option(tcp::no_delay(true), Ignored);
-  this->Stream.socket().set_option(asio::socket_base::keep_alive(true),
-                                   Ignored);
+  detectSilentPeer(this->Stream.socket());
   this->watchWhileIdle();
   Pool->connectionOpened(this->shared_from_this());
 }
--- a/src/net/socket_func.cpp
+++ b/src/net/socket_func.cpp
@@ -1,6 +1,8 @@
 #include "net/socket_func.h"
 
 #include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace hickorycrank::net {
@@ -17,4 +19,30 @@
   return Nothing ? SocketInput::None : SocketInput::Closed;
 }
 
+namespace {
+
+/** Idle time before the first probe, and time between probes, in seconds. */
+constexpr int ProbeAfterSeconds = 1;
+constexpr int ProbeIntervalSeconds = 1;
+/** Probes without an answer that break the connection. */
+constexpr int ProbeCount = 2;
+/** Time for sent bytes to be acknowledged. */
+constexpr unsigned AcknowledgeTimeoutMs = 2'000;
+
+} // namespace
+
+void detectSilentPeer(boost::asio::ip::tcp::socket &Socket) {
+  int Handle = Socket.native_handle();
+  int On = 1;
+  // Without an option, the timeouts of the requests still find silent peers.
+  setsockopt(Handle, SOL_SOCKET, SO_KEEPALIVE, &On, sizeof On);
+  setsockopt(Handle, IPPROTO_TCP, TCP_KEEPIDLE, &ProbeAfterSeconds,
+             sizeof ProbeAfterSeconds);
+  setsockopt(Handle, IPPROTO_TCP, TCP_KEEPINTVL, &ProbeIntervalSeconds,
+             sizeof ProbeIntervalSeconds);
+  setsockopt(Handle, IPPROTO_TCP, TCP_KEEPCNT, &ProbeCount, sizeof ProbeCount);
+  setsockopt(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &AcknowledgeTimeoutMs,
+             sizeof AcknowledgeTimeoutMs);
+}
+
 } // namespace hickorycrank::net
--- a/src/net/socket_func.h
+++ b/src/net/socket_func.h
@@ -21,6 +21,14 @@
  */
 SocketInput peekInput(boost::asio::ip::tcp::socket &Socket);
 
+/**
+ * Makes the kernel break a connection whose peer no longer answers, as after a
+ * network partition or when a middlebox has lost track of it. Idle connections
+ * are probed; unacknowledged bytes break it after a similar time.
+ * @param Socket An open socket.
+ */
+void detectSilentPeer(boost::asio::ip::tcp::socket &Socket);
+
 } // namespace hickorycrank::net
 
 #endif
--- /dev/null
+++ b/src/net/upstream_connection.cpp
@@ -0,0 +1,313 @@
+#include "net/upstream_connection_base.h"
+
+#include "config/settings_func.h"
+#include "net/forward_header_func.h"
+#include "net/socket_func.h"
+#include "net/upstream_pool_base.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+namespace hickorycrank::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using base::Clock;
+
+namespace {
+
+/** Longest time for a connection to open; a server that is reached needs a few
+ * round trips and one slot. */
+constexpr base::Duration ConnectTimeout = std::chrono::milliseconds(300);
+/** Time for the reply to an abandoned attempt. Pauses of servers are shorter;
+ * work for a caller that has gone must end within half a second. */
+constexpr base::Duration DrainTime = std::chrono::milliseconds(300);
+/** Idle time if the server states none, and its margin if it does. */
+constexpr base::Duration DefaultKeepAlive = std::chrono::seconds(8);
+constexpr base::Duration KeepAliveMargin = std::chrono::milliseconds(700);
+constexpr uint64_t MaxReplyBytes = 8 * 1024 * 1024;
+
+} // namespace
+
+UpstreamConnection::UpstreamConnection(asio::io_context &Context,
+                                       UpstreamPool &Owner,
+                                       forward::ServerKey Server)
+    : Socket(Context), Owner(Owner), Server(Server), PhaseSince(Clock::now()),
+      KeepAlive(DefaultKeepAlive) {}
+
+bool UpstreamConnection::open(const std::string &Address,
+                              UpstreamAttempt First) {
+  auto Where = config::parseEndpoint(Address);
+  if (!Where) {
+    return false;
+  }
+  this->Current = std::move(First);
+  tcp::endpoint Target(asio::ip::make_address(Where->Address), Where->Port);
+  beast::error_code Ignored; // A socket that cannot be opened fails below.
+  this->Socket.open(Target.protocol(), Ignored);
+  this->Socket.set_option(tcp::no_delay(true), Ignored);
+  detectSilentPeer(this->Socket);
+  this->Socket.async_connect(
+      Target, [Self = this->shared_from_this()](beast::error_code Failure) {
+        Self->onConnected(Failure);
+      });
+  return true;
+}
+
+void UpstreamConnection::onConnected(beast::error_code Failure) {
+  if (this->Phase == UpstreamPhase::Closed) {
+    return;
+  }
+  if (Failure) {
+    ++this->Owner.Counters.ConnectFailed;
+    this->fail(forward::AttemptFailure::NotSent);
+    return;
+  }
+  this->read();
+  if (!this->Current) {
+    this->becomeIdle();
+    return;
+  }
+  this->write();
+}
+
+void UpstreamConnection::send(UpstreamAttempt Next) {
+  this->Current = std::move(Next);
+  this->write();
+}
+
+void UpstreamConnection::write() {
+  this->Phase = UpstreamPhase::Busy;
+  this->PhaseSince = Clock::now();
+  this->Abandoned = false;
+  const forward::SendAttempt &Order = this->Current->Order;
+  this->Outgoing = this->Current->Source->Message;
+  auto Left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Order.Remaining);
+  this->Outgoing.set(this->Owner.Names.Remaining,
+                     std::to_string(std::max<int64_t>(1, Left.count())));
+  this->Outgoing.set(this->Owner.Names.ExpectedServer, Order.ServerId.Value);
+  this->WritePending = true;
+  http::async_write(
+      this->Socket, this->Outgoing,
+      [Self = this->shared_from_this()](beast::error_code Failure, size_t) {
+        Self->WritePending = false;
+        // A failed write also ends the pending read.
+        if (Failure && Self->Phase != UpstreamPhase::Closed) {
+          Self->fail(forward::AttemptFailure::Broken);
+        }
+      });
+}
+
+void UpstreamConnection::read() {
+  this->Socket.async_read_some(asio::buffer(this->Chunk),
+                               [Self = this->shared_from_this()](
+                                   beast::error_code Failure, size_t Count) {
+                                 Self->onRead(Failure, Count);
+                               });
+}
+
+void UpstreamConnection::onRead(beast::error_code Failure, size_t Count) {
+  if (this->Phase == UpstreamPhase::Closed) {
+    return;
+  }
+  if (Failure) {
+    if (Failure == asio::error::eof && this->Phase == UpstreamPhase::Busy) {
+      this->parse(true);
+      return;
+    }
+    this->fail(forward::AttemptFailure::Broken);
+    return;
+  }
+  if (this->Phase != UpstreamPhase::Busy) {
+    ++this->Owner.Counters.SurplusBytes;
+    this->fail(forward::AttemptFailure::Broken);
+    return;
+  }
+  auto Room = this->Buffer.prepare(Count);
+  asio::buffer_copy(Room, asio::buffer(this->Chunk, Count));
+  this->Buffer.commit(Count);
+  this->parse(false);
+  if (this->Phase != UpstreamPhase::Closed) {
+    this->read();
+  }
+}
+
+void UpstreamConnection::parse(bool End) {
+  // Each round reads one reply; replies to other attempts are dropped.
+  while (this->Phase == UpstreamPhase::Busy) {
+    if (!this->Incoming) {
+      this->Incoming.emplace();
+      this->Incoming->eager(true);
+      this->Incoming->body_limit(MaxReplyBytes);
+      this->Incoming->skip(this->Current->Source->Message.method() ==
+                           http::verb::head);
+    }
+    beast::error_code Failure;
+    while (!this->Incoming->is_done() && this->Buffer.size() > 0 && !Failure) {
+      size_t Used = this->Incoming->put(this->Buffer.data(), Failure);
+      this->Buffer.consume(Used);
+      if (Used == 0 && !Failure) {
+        break;
+      }
+    }
+    if (Failure == http::error::need_more) {
+      Failure = {};
+    }
+    if (!Failure && End && !this->Incoming->is_done()) {
+      this->Incoming->put_eof(Failure);
+      if (!Failure && !this->Incoming->is_done()) {
+        Failure = http::error::partial_message;
+      }
+    }
+    if (Failure) {
+      this->fail(forward::AttemptFailure::Broken);
+      return;
+    }
+    if (!this->Incoming->is_done()) {
+      return;
+    }
+    if (this->isForeign(*this->Incoming)) {
+      this->Incoming.reset();
+      this->SawForeign = true;
+      ++this->Owner.Counters.ForeignReplies;
+      if (End) {
+        this->fail(forward::AttemptFailure::Broken);
+      }
+      continue;
+    }
+    this->finish(!End);
+  }
+}
+
+bool UpstreamConnection::isForeign(const Parser &Received) const {
+  if (Received.get().result_int() < 200) {
+    return true; // An interim reply; the final one follows.
+  }
+  auto Echo = Received.get().find(this->Owner.Names.AttemptId);
+  return Echo != Received.get().end() &&
+         Echo->value() != this->Current->Source->AttemptId;
+}
+
+forward::Reply UpstreamConnection::takeReply(Parser &Received) const {
+  const ForwardHeaders &Names = this->Owner.Names;
+  http::response<http::string_body> Message = Received.release();
+  forward::Reply Taken;
+  Taken.Status = Message.result_int();
+  Taken.Reason = std::string(Message.reason());
+  Taken.Signature = std::string(Message[Names.Signature]);
+  Taken.NotExecuted = Message.find(Names.NotExecuted) != Message.end();
+  Taken.Misdirected = Message.result() == http::status::misdirected_request;
+  Taken.Load = parseLoad(Message[Names.ServerLoad]);
+  if (this->Current->Source->PassFields) {
+    Taken.Fields = endToEndFields(Message);
+  }
+  Taken.Body = std::move(Message.body());
+  return Taken;
+}
+
+void UpstreamConnection::finish(bool Reusable) {
+  bool KeepOpen = Reusable && this->Incoming->keep_alive() &&
+                  !this->Incoming->need_eof() && !this->SawForeign &&
+                  !this->WritePending && !this->Retired;
+  if (this->Buffer.size() > 0) {
+    ++this->Owner.Counters.SurplusBytes;
+    KeepOpen = false;
+  }
+  auto Stated = parseKeepAlive(this->Incoming->get()[http::field::keep_alive]);
+  if (Stated) {
+    this->KeepAlive = *Stated - KeepAliveMargin;
+  }
+  forward::Reply Taken = this->takeReply(*this->Incoming);
+  this->Incoming.reset();
+  forward::AttemptRef Ref = this->Current->Order.Ref;
+  this->Current.reset();
+  if (KeepOpen) {
+    this->becomeIdle();
+  } else {
+    this->close();
+  }
+  this->Owner.Handlers.OnReply(Ref, this->Server, std::move(Taken));
+}
+
+void UpstreamConnection::becomeIdle() {
+  this->Phase = UpstreamPhase::Idle;
+  this->PhaseSince = Clock::now();
+  this->Abandoned = false;
+  if (this->Retired) {
+    this->close();
+  }
+}
+
+void UpstreamConnection::abandon(base::TimePoint Now) {
+  if (this->Phase == UpstreamPhase::Connecting) {
+    forward::AttemptRef Ref = this->Current->Order.Ref;
+    this->Current.reset();
+    this->Owner.Handlers.OnAbandonedEnd(Ref, this->Server);
+    return;
+  }
+  this->Abandoned = true;
+  this->AbandonedAt = Now;
+}
+
+void UpstreamConnection::close() {
+  if (this->Phase == UpstreamPhase::Closed) {
+    return;
+  }
+  this->Phase = UpstreamPhase::Closed;
+  beast::error_code Ignored; // The server may have closed it already.
+  this->Socket.close(Ignored);
+  this->Owner.closed(*this);
+}
+
+void UpstreamConnection::fail(forward::AttemptFailure Kind) {
+  auto Self = this->shared_from_this();
+  std::optional<UpstreamAttempt> Failed = std::exchange(this->Current, {});
+  bool WasAbandoned = this->Abandoned;
+  this->close();
+  if (!Failed) {
+    return;
+  }
+  if (WasAbandoned) {
+    this->Owner.Handlers.OnAbandonedEnd(Failed->Order.Ref, this->Server);
+    return;
+  }
+  this->Owner.Handlers.OnFailure(Failed->Order.Ref, this->Server, Kind);
+}
+
+bool UpstreamConnection::sweep(base::TimePoint Now) {
+  switch (this->Phase) {
+  case UpstreamPhase::Connecting:
+    if (Now - this->PhaseSince > ConnectTimeout) {
+      ++this->Owner.Counters.ConnectFailed;
+      this->fail(forward::AttemptFailure::NotSent);
+    }
+    return false;
+  case UpstreamPhase::Idle:
+    if (Now - this->PhaseSince > this->KeepAlive) {
+      this->close();
+    }
+    return false;
+  case UpstreamPhase::Busy:
+    if (this->Abandoned && Now - this->AbandonedAt > DrainTime) {
+      ++this->Owner.Counters.AbandonedClosed;
+      this->fail(forward::AttemptFailure::Broken);
+      return true;
+    }
+    return false;
+  case UpstreamPhase::Closed:
+    return false;
+  }
+  return false;
+}
+
+bool UpstreamConnection::isReusable(base::TimePoint Now,
+                                    base::Duration MaxIdle) const {
+  return this->Phase == UpstreamPhase::Idle && !this->Retired &&
+         Now - this->PhaseSince <= std::min(MaxIdle, this->KeepAlive);
+}
+
+} // namespace hickorycrank::net
--- /dev/null
+++ b/src/net/upstream_connection_base.h
@@ -0,0 +1,112 @@
+#ifndef HICKORYCRANK_NET_UPSTREAM_CONNECTION_BASE_H
+#define HICKORYCRANK_NET_UPSTREAM_CONNECTION_BASE_H
+
+#include "base/time_type.h"
+#include "net/upstream_type.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <memory>
+#include <optional>
+
+namespace hickorycrank::net {
+
+class UpstreamPool;
+
+/** Phase of a connection to a backend server. */
+enum class UpstreamPhase { Connecting, Idle, Busy, Closed };
+
+/**
+ * One connection to a backend server, with one request at a time. One read
+ * operation is always pending, so that a close or unsolicited bytes on an idle
+ * connection are noticed before it is used again.
+ */
+class UpstreamConnection
+    : public std::enable_shared_from_this<UpstreamConnection> {
+public:
+  /**
+   * Creates a connection that is not open yet.
+   * @param Context Runs the connection on one thread.
+   * @param Owner The pool; outlives its open connections.
+   * @param Server The server.
+   */
+  UpstreamConnection(boost::asio::io_context &Context, UpstreamPool &Owner,
+                     forward::ServerKey Server);
+
+  /**
+   * Connects, then sends.
+   * @param Address "IP:port" of the server.
+   * @param First The attempt to send once connected.
+   * @return Whether the address is valid.
+   */
+  bool open(const std::string &Address, UpstreamAttempt First);
+
+  /** Sends on an idle connection. @param Next The attempt. */
+  void send(UpstreamAttempt Next);
+
+  /** Drops the interest in the reply. @param Now Current time. */
+  void abandon(base::TimePoint Now);
+
+  /** Closes at once; a pending attempt fails. */
+  void close();
+
+  /**
+   * Closes what has waited for too long.
+   * @param Now Current time.
+   * @return Whether an abandoned attempt got no reply, which makes other
+   *   connections to the server suspect.
+   */
+  bool sweep(base::TimePoint Now);
+
+  /** @return The attempt in progress, if any. */
+  const std::optional<UpstreamAttempt> &attempt() const {
+    return this->Current;
+  }
+  /** @return Phase. */
+  UpstreamPhase phase() const { return this->Phase; }
+  /** @return The server. */
+  forward::ServerKey server() const { return this->Server; }
+  /** @param Now Current time. @param MaxIdle Longest idle time.
+   * @return Whether a request may be sent on it. */
+  bool isReusable(base::TimePoint Now, base::Duration MaxIdle) const;
+
+  bool Retired = false; ///< Close it once it is idle.
+
+private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void onConnected(boost::beast::error_code Failure);
+  void write();
+  void read();
+  void onRead(boost::beast::error_code Failure, size_t Count);
+  void parse(bool End);
+  void finish(bool Reusable);
+  bool isForeign(const Parser &Received) const;
+  forward::Reply takeReply(Parser &Received) const;
+  void fail(forward::AttemptFailure Kind);
+  void becomeIdle();
+
+  boost::asio::ip::tcp::socket Socket;
+  UpstreamPool &Owner;
+  forward::ServerKey Server;
+  UpstreamPhase Phase = UpstreamPhase::Connecting;
+  base::TimePoint PhaseSince;
+  base::TimePoint AbandonedAt;
+  bool Abandoned = false;
+  bool WritePending = false;
+  bool SawForeign = false;  ///< A reply to another attempt was dropped.
+  base::Duration KeepAlive; ///< Idle time that the server allows.
+  std::optional<UpstreamAttempt> Current;
+  boost::beast::http::request<boost::beast::http::string_body> Outgoing;
+  boost::beast::flat_buffer Buffer;
+  std::array<char, 4096> Chunk;
+  std::optional<Parser> Incoming;
+};
+
+} // namespace hickorycrank::net
+
+#endif
--- /dev/null
+++ b/src/net/upstream_pool_base.h
@@ -0,0 +1,71 @@
+#ifndef HICKORYCRANK_NET_UPSTREAM_POOL_BASE_H
+#define HICKORYCRANK_NET_UPSTREAM_POOL_BASE_H
+
+#include "net/upstream_connection_base.h"
+
+#include <list>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace hickorycrank::net {
+
+/** The connections of an instance to all backend servers, on one thread. */
+class UpstreamPool {
+public:
+  /** Period at which the owner calls sweep(). */
+  static constexpr std::chrono::milliseconds SweepPeriod{25};
+
+  /**
+   * Creates a pool without connections.
+   * @param Context Runs the connections on one thread.
+   * @param Names Names of header fields.
+   * @param Handlers What to tell the owner.
+   */
+  UpstreamPool(boost::asio::io_context &Context, ForwardHeaders Names,
+               UpstreamCallbacks Handlers);
+  ~UpstreamPool();
+  UpstreamPool(const UpstreamPool &) = delete;
+  UpstreamPool &operator=(const UpstreamPool &) = delete;
+
+  /** Sends an attempt on an open or a new connection.
+   * @param Next The attempt. */
+  void send(UpstreamAttempt Next);
+
+  /**
+   * Drops an attempt. Its reply is read for a while, which keeps the
+   * connection and tells when the server works again.
+   * @param Ref The attempt.
+   * @param Server The server.
+   */
+  void abandon(const forward::AttemptRef &Ref, forward::ServerKey Server);
+
+  /** Closes the connections to a server once they are idle.
+   * @param Server The server. */
+  void retire(forward::ServerKey Server);
+
+  /** Closes what has waited for too long. @param Now Current time. */
+  void sweep(base::TimePoint Now);
+
+  /** @return Open or opening connections. */
+  size_t connections() const;
+  /** @return What was counted so far. */
+  const UpstreamCounters &counters() const { return this->Counters; }
+
+private:
+  friend class UpstreamConnection;
+  using Connection = std::shared_ptr<UpstreamConnection>;
+
+  Connection takeIdle(forward::ServerKey Server, bool Idempotent);
+  void closed(const UpstreamConnection &Ended);
+
+  boost::asio::io_context &Context;
+  ForwardHeaders Names;
+  UpstreamCallbacks Handlers;
+  std::unordered_map<forward::ServerKey, std::vector<Connection>> Open;
+  UpstreamCounters Counters;
+};
+
+} // namespace hickorycrank::net
+
+#endif
