--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -19,6 +19,9 @@
  */
 constexpr base::Duration PullTimeout = std::chrono::milliseconds(800);
 constexpr std::chrono::milliseconds PullConnectTimeout(300);
+/** A starting instance is heard, and hears the others, sooner. */
+constexpr base::Duration StartTime = std::chrono::milliseconds(1'000);
+constexpr base::Duration StartPeriod = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -26,7 +29,8 @@
                      const config::GatewaySettings &Own, uint64_t Seed,
                      FleetCallbacks Handlers)
     : Context(Context), Own(Own), Process(Seed), Handlers(std::move(Handlers)),
-      Members(config::toString(Own.Heartbeats), Seed), Socket(Context) {
+      Members(Clock::now(), config::toString(Own.Heartbeats), Own.Domain, Seed),
+      Socket(Context), StartedAt(Clock::now()) {
   udp::endpoint Where(asio::ip::make_address(Own.Heartbeats.Address),
                       Own.Heartbeats.Port);
   this->Socket.open(Where.protocol());
@@ -56,10 +60,20 @@
 }
 
 void FleetNode::tick(base::TimePoint Now) {
+  bool Starting = Now - this->StartedAt < StartTime;
+  base::Duration Period = Starting ? StartPeriod : fleet::Roster::Period;
+  if (Now - this->SentAt >= Period) {
+    this->announce(Now);
+  }
+}
+
+void FleetNode::announce(base::TimePoint Now) {
+  this->SentAt = Now;
   fleet::Heartbeat Message = this->Handlers.Describe();
   Message.Address = config::toString(this->Own.Heartbeats);
   Message.Control = config::toString(this->Own.Control);
   Message.Process = this->Process;
+  Message.Domain = this->Own.Domain;
   Message.Peers = this->Members.addresses();
   std::string Bytes = net::encodeHeartbeat(Message);
   for (const std::string &Target : this->Members.targets(Now)) {
@@ -77,8 +91,8 @@
   }
 }
 
-bool FleetNode::catchUp(base::TimePoint Now, uint64_t ChangedAt) {
-  auto Ahead = this->Members.findAhead(Now, ChangedAt);
+bool FleetNode::catchUp(base::TimePoint Now, uint64_t ChangedAt, bool Reading) {
+  auto Ahead = this->Members.findAhead(Now, ChangedAt, Reading);
   if (!Ahead || this->Pull || this->Stopped) {
     return false;
   }
@@ -96,19 +110,20 @@
   Limits.ConnectTimeout = PullConnectTimeout;
   this->Pull = std::make_shared<net::HttpPool>(this->Context, *Where, Limits);
   net::HttpRequest Request;
-  Request.Path = SnapshotTarget;
+  Request.Path = std::string(UpdatePath) + "?" + SinceParameter + "=" +
+                 std::to_string(this->Handlers.Revision());
   this->Pull->send(std::move(Request), Clock::now() + PullTimeout, true,
                    [Weak = this->weak_from_this(),
-                    Healthy = Ahead->StoreHealthy](net::ExchangeResult Result) {
+                    Stable = Ahead->StoreStable](net::ExchangeResult Result) {
                      auto Self = Weak.lock();
                      if (Self && !Self->Stopped) {
-                       Self->onPulled(Result, Healthy);
+                       Self->onPulled(Result, Stable);
                      }
                    });
   return true;
 }
 
-void FleetNode::onPulled(const net::ExchangeResult &Result, bool StoreHealthy) {
+void FleetNode::onPulled(const net::ExchangeResult &Result, bool StoreStable) {
   // The pool is released after this callback, which it is running.
   asio::post(this->Context, [Ended = std::exchange(this->Pull, nullptr)] {});
   const auto *Response = std::get_if<net::HttpResponse>(&Result);
@@ -116,14 +131,14 @@
     ++this->Counters.PullsFailed;
     return;
   }
-  auto Decoded = net::decodeSnapshot(Response->Body);
+  auto Decoded = net::decodeUpdate(Response->Body);
   if (!Decoded) {
     ++this->Counters.PullsFailed;
-    logEvent(LogLevel::Warning, "view.bad_snapshot",
+    logEvent(LogLevel::Warning, "view.bad_update",
              {{"error", Decoded.error().Message}});
     return;
   }
-  this->Handlers.OnSnapshot(Decoded.value(), StoreHealthy);
+  this->Handlers.OnUpdate(Decoded.value(), StoreStable);
 }
 
 void FleetNode::receive() {
--- a/src/daemon/fleet_node_base.h
+++ b/src/daemon/fleet_node_base.h
@@ -19,9 +19,10 @@
   /** State to tell others; addresses and peers are filled in by the node. */
   std::function<fleet::Heartbeat()> Describe;
   std::function<void(const fleet::Heartbeat &)> OnHeartbeat;
-  /** A newer view of another instance, whose store may be reliable or not. */
-  std::function<void(const discovery::Snapshot &, bool StoreHealthy)>
-      OnSnapshot;
+  /** Revision of the own view. */
+  std::function<uint64_t()> Revision;
+  /** What another instance knows, and whether its store is reliable. */
+  std::function<void(const discovery::Update &, bool StoreStable)> OnUpdate;
 };
 
 /** What a node counts. */
@@ -39,8 +40,12 @@
  */
 class FleetNode : public std::enable_shared_from_this<FleetNode> {
 public:
-  /** Request target of snapshots at an instance's control endpoint. */
-  static constexpr const char *SnapshotTarget = "/fleet/snapshot";
+  /** Path of updates at an instance's control endpoint. */
+  static constexpr const char *UpdatePath = "/fleet/view";
+  /** Query parameter of it: revision of the view to be updated. */
+  static constexpr const char *SinceParameter = "since";
+  /** Period at which the owner calls tick(). */
+  static constexpr std::chrono::milliseconds TickPeriod{50};
 
   /**
    * Binds the address for heartbeats.
@@ -60,15 +65,24 @@
   void stop();
   /** Replaces the seeds. @param Seeds Control endpoints of instances. */
   void setSeeds(const std::vector<config::Endpoint> &Seeds);
-  /** Sends heartbeats. @param Now Current time. */
+  /** Sends heartbeats that are due. @param Now Current time. */
   void tick(base::TimePoint Now);
+  /** Sends heartbeats at once. @param Now Current time. */
+  void announce(base::TimePoint Now);
   /**
    * Copies the view of an instance that is ahead.
    * @param Now Current time.
    * @param ChangedAt Revision of the last change of the own view.
+   * @param Reading Whether this instance reads the store.
    * @return Whether an instance is ahead.
    */
-  bool catchUp(base::TimePoint Now, uint64_t ChangedAt);
+  bool catchUp(base::TimePoint Now, uint64_t ChangedAt, bool Reading);
+
+  /** @param Now Current time. @param HasView Whether anything is known.
+   * @return Whether this instance reads the store. */
+  bool shouldRead(base::TimePoint Now, bool HasView) {
+    return this->Members.shouldRead(Now, HasView);
+  }
 
   /** @param Now Current time. @return Instances including this one. */
   size_t instances(base::TimePoint Now) const {
@@ -80,7 +94,7 @@
 private:
   void receive();
   void onDatagram(size_t Count);
-  void onPulled(const net::ExchangeResult &Result, bool StoreHealthy);
+  void onPulled(const net::ExchangeResult &Result, bool StoreStable);
 
   boost::asio::io_context &Context;
   config::GatewaySettings Own;
@@ -91,6 +105,8 @@
   boost::asio::ip::udp::endpoint Sender;
   std::array<char, 16 * 1024> Datagram;
   std::shared_ptr<net::HttpPool> Pull; ///< While a view is being copied.
+  base::TimePoint StartedAt;
+  base::TimePoint SentAt;
   bool Stopped = false;
   FleetCounters Counters;
 };
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -98,23 +98,19 @@
                      [this](const fleet::Heartbeat &Received) {
                        this->onHeartbeat(Received);
                      },
-                     [this](const discovery::Snapshot &Newer, bool Healthy) {
-                       this->onSnapshot(Newer, Healthy);
+                     [this] { return this->View.revision(); },
+                     [this](const discovery::Update &Newer, bool Stable) {
+                       this->onUpdate(Newer, Stable);
                      }});
   this->Reader = std::make_shared<StoreReader>(
       this->Context, this->Own.Store, this->Dialect.Store, Seed,
-      StoreReaderCallbacks{[this](const discovery::Snapshot &Newer) {
-                             this->onSnapshot(
-                                 Newer, this->Reader->isStable(Clock::now()));
-                           },
-                           [this](const discovery::ChangeSet &Newer) {
-                             this->onChanges(Newer);
-                           }});
+      StoreReaderCallbacks{[this](const discovery::Update &Newer) {
+        this->onUpdate(Newer, this->Reader->isStable(Clock::now()));
+      }});
   this->Callers.start();
   this->Readiness.start();
   this->Control.start();
   this->Fleet->start();
-  this->Reader->start();
   this->startTimers();
   logEvent(LogLevel::Info, "gateway.started",
            {{"instance", this->Own.Instance.Value},
@@ -130,12 +126,14 @@
     this->Callers.sweep(Event.Now);
   });
   this->Timers.subscribe(
-      fleet::Roster::Period, [this](const base::Tick &Event) {
+      FleetNode::TickPeriod, [this](const base::Tick &Event) {
         this->Fleet->tick(Event.Now);
+        this->chooseReader(Event.Now);
         this->Engine.onInstances(this->Fleet->instances(Event.Now));
       });
   this->Timers.subscribe(TickPeriod, [this](const base::Tick &Event) {
-    if (this->Fleet->catchUp(Event.Now, this->View.changedAt())) {
+    if (this->Fleet->catchUp(Event.Now, this->View.changedAt(),
+                             this->Reader->isHealthy())) {
       this->Reader->restartWatch();
     }
     if (this->View.expire(Event.Now)) {
@@ -312,7 +310,7 @@
   logEvent(
       LogLevel::Info, "gateway.stopped",
       {{"in_progress", std::to_string(this->Callers.requestsInProgress())}});
-  this->Fleet->tick(Now);
+  this->Fleet->announce(Now);
   std::exchange(this->OnStopped, nullptr)();
 }
 
--- a/src/daemon/gateway_base.h
+++ b/src/daemon/gateway_base.h
@@ -96,8 +96,8 @@
   void finishStop();
 
   // View of the platform (gateway_view.cpp).
-  void onSnapshot(const discovery::Snapshot &Newer, bool Reliable);
-  void onChanges(const discovery::ChangeSet &Newer);
+  void onUpdate(const discovery::Update &Newer, bool Reliable);
+  void chooseReader(base::TimePoint Now);
   void applyView();
   void applyConfiguration();
   void applyServers();
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -3,6 +3,7 @@
 #include "config/settings_func.h"
 #include "net/fleet_codec_func.h"
 
+#include <charconv>
 #include <sstream>
 #include <utility>
 
@@ -11,23 +12,23 @@
 using base::Clock;
 using discovery::ItemKind;
 
-void Gateway::onSnapshot(const discovery::Snapshot &Newer, bool Reliable) {
+void Gateway::onUpdate(const discovery::Update &Newer, bool Reliable) {
   auto Mode =
       Reliable ? discovery::Removal::Immediate : discovery::Removal::Held;
-  if (this->View.apply(Clock::now(), Newer, Mode)) {
+  if (!this->View.apply(Clock::now(), Newer, Mode)) {
+    return;
+  }
+  if (Newer.Complete || !Newer.Changes.empty()) {
     this->applyView();
   }
 }
 
-void Gateway::onChanges(const discovery::ChangeSet &Newer) {
-  if (Newer.Changes.empty()) {
-    return;
+void Gateway::chooseReader(base::TimePoint Now) {
+  if (this->Fleet->shouldRead(Now, this->View.revision() != 0)) {
+    this->Reader->resume(this->View.revision());
+  } else {
+    this->Reader->pause();
   }
-  auto Mode = this->Reader->isStable(Clock::now())
-                  ? discovery::Removal::Immediate
-                  : discovery::Removal::Held;
-  this->View.apply(Clock::now(), Newer, Mode);
-  this->applyView();
 }
 
 void Gateway::applyView() {
@@ -109,16 +110,23 @@
   fleet::Heartbeat Own;
   Own.Leaving = this->Stopping && !this->OnStopped;
   Own.ChangedAt = this->View.changedAt();
-  Own.StoreHealthy = this->Reader->isStable(Clock::now());
+  Own.StoreHealthy = this->Reader->isHealthy();
+  Own.StoreStable = this->Reader->isStable(Clock::now());
   Own.Quarantined = this->Engine.crashes().quarantined(suspendAwareNow());
   return Own;
 }
 
 void Gateway::handleControl(const net::HttpCall &Call) {
   net::HttpResponse Response;
-  if (Call.Request.Path == FleetNode::SnapshotTarget) {
+  if (Call.Request.Path == FleetNode::UpdatePath) {
+    uint64_t Since = 0;
+    auto Stated = Call.Request.Query.find(FleetNode::SinceParameter);
+    if (Stated != Call.Request.Query.end()) {
+      const std::string &Text = Stated->second;
+      std::from_chars(Text.data(), Text.data() + Text.size(), Since);
+    }
     Response.ContentType = "application/octet-stream";
-    Response.Body = net::encodeSnapshot(this->View.snapshot());
+    Response.Body = net::encodeUpdate(this->View.updateSince(Since));
   } else if (Call.Request.Path == "/metrics") {
     Response.ContentType = "text/plain";
     Response.Body = this->renderMetrics();
--- a/src/daemon/store_reader.cpp
+++ b/src/daemon/store_reader.cpp
@@ -17,6 +17,9 @@
 constexpr std::chrono::milliseconds WatchWait(5'000);
 /** Time for an answer beyond the time that the store is asked to wait. */
 constexpr Duration AnswerTimeout = std::chrono::milliseconds(1'200);
+/** Time after a change in which further ones are gathered into one answer: a
+ * watch ends with its first change, and each call is priced. */
+constexpr Duration GatherTime = std::chrono::milliseconds(150);
 constexpr Duration FirstRetry = std::chrono::milliseconds(120);
 constexpr uint32_t MaxRetryDoublings = 3;
 /** Time without failure after which the absence of an item proves that it is
@@ -43,7 +46,29 @@
       Pool(std::make_shared<net::HttpPool>(Context, Store, storeLimits())),
       RetryTimer(Context), Generator(Seed), LastTrouble(Clock::now()) {}
 
-void StoreReader::start() { this->list(); }
+void StoreReader::resume(uint64_t Known) {
+  if (!this->Paused || this->Stopped) {
+    return;
+  }
+  this->Paused = false;
+  this->Revision = std::max(this->Revision, Known);
+  logEvent(LogLevel::Info, "store.reading",
+           {{"revision", std::to_string(this->Revision)}});
+  this->continueAfter(Duration::zero());
+}
+
+void StoreReader::pause() {
+  if (this->Paused) {
+    return;
+  }
+  this->Paused = true;
+  this->RetryPending = false;
+  this->RetryTimer.cancel();
+  this->Pool->cancel(this->Exchange, true);
+  this->LastKey.clear();
+  logEvent(LogLevel::Info, "store.left_to_peers",
+           {{"revision", std::to_string(this->Revision)}});
+}
 
 void StoreReader::stop() {
   this->Stopped = true;
@@ -53,11 +78,12 @@
 }
 
 bool StoreReader::isStable(base::TimePoint Now) const {
-  return this->Healthy && Now - this->LastTrouble >= StableTime;
+  return this->isHealthy() && Now - this->LastTrouble >= StableTime;
 }
 
 void StoreReader::restartWatch() {
-  if (this->Stopped || this->Revision == 0 || this->RetryPending) {
+  if (this->Stopped || this->Paused || this->Revision == 0 ||
+      this->RetryPending) {
     return;
   }
   this->Pool->cancel(this->Exchange, true);
@@ -83,7 +109,7 @@
 
 void StoreReader::ask(const std::string &Target, Duration Timeout,
                       std::function<void(const net::HttpResponse &)> Handle) {
-  if (this->Stopped) {
+  if (this->Stopped || this->Paused) {
     return;
   }
   ++this->Counters.Calls;
@@ -94,7 +120,7 @@
       [Weak = this->weak_from_this(),
        Handle = std::move(Handle)](net::ExchangeResult Result) {
         auto Self = Weak.lock();
-        if (!Self || Self->Stopped) {
+        if (!Self || Self->Stopped || Self->Paused) {
           return;
         }
         if (const auto *Response = std::get_if<net::HttpResponse>(&Result)) {
@@ -120,8 +146,10 @@
   if (this->LastKey.empty()) {
     this->Partial.Revision = Page.Revision;
   }
-  std::move(Page.Items.begin(), Page.Items.end(),
-            std::back_inserter(this->Partial.Items));
+  for (discovery::Item &Entry : Page.Items) {
+    this->Partial.ChangedAt = std::max(this->Partial.ChangedAt, Entry.Revision);
+    this->Partial.Changes.push_back({std::move(Entry), false});
+  }
   if (Page.More && !Page.Last.empty()) {
     this->LastKey = Page.Last;
     this->list();
@@ -129,8 +157,8 @@
   }
   this->LastKey.clear();
   this->Revision = this->Partial.Revision;
-  discovery::Snapshot Whole = std::exchange(this->Partial, {});
-  this->Handlers.OnSnapshot(Whole);
+  this->Partial.Complete = true;
+  this->Handlers.OnUpdate(std::exchange(this->Partial, {}));
   this->succeed();
   this->watch();
 }
@@ -152,10 +180,13 @@
     this->fail(Decoded.error().Message);
     return;
   }
-  this->Revision = std::max(this->Revision, Decoded.value().Revision);
-  this->Handlers.OnChanges(Decoded.value());
+  discovery::Update Newer = std::move(Decoded.value());
+  Newer.Since = this->Revision;
+  this->Revision = std::max(this->Revision, Newer.Revision);
+  bool Changed = !Newer.Changes.empty();
+  this->Handlers.OnUpdate(Newer);
   this->succeed();
-  this->watch();
+  this->continueAfter(Changed ? GatherTime : Duration::zero());
 }
 
 void StoreReader::fail(const std::string &Reason) {
@@ -183,9 +214,13 @@
 void StoreReader::retryLater() {
   uint32_t Doublings = std::min(this->FailuresInRow++, MaxRetryDoublings);
   Duration Pause = FirstRetry * (1U << Doublings);
-  this->RetryPending = true;
-  this->RetryTimer.expires_after(std::chrono::duration_cast<Duration>(
+  this->continueAfter(std::chrono::duration_cast<Duration>(
       Pause * (0.5 + this->Generator.unit())));
+}
+
+void StoreReader::continueAfter(Duration Pause) {
+  this->RetryPending = true;
+  this->RetryTimer.expires_after(Pause);
   this->RetryTimer.async_wait(
       [Weak = this->weak_from_this()](boost::system::error_code Failure) {
         auto Self = Weak.lock();
--- a/src/daemon/store_reader_base.h
+++ b/src/daemon/store_reader_base.h
@@ -17,8 +17,7 @@
 
 /** What a reader of the platform's store tells its owner. */
 struct StoreReaderCallbacks {
-  std::function<void(const discovery::Snapshot &)> OnSnapshot;
-  std::function<void(const discovery::ChangeSet &)> OnChanges;
+  std::function<void(const discovery::Update &)> OnUpdate;
 };
 
 /** What a reader counts. */
@@ -29,8 +28,8 @@
 };
 
 /**
- * Lists the platform's store, then follows its changes by watches. It runs on
- * one thread, that of the io_context.
+ * Lists the platform's store, then follows its changes by watches, while it is
+ * this instance's turn to read. It runs on one thread, that of the io_context.
  */
 class StoreReader : public std::enable_shared_from_this<StoreReader> {
 public:
@@ -46,16 +45,23 @@
               discovery::StoreDialect Dialect, uint64_t Seed,
               StoreReaderCallbacks Handlers);
 
-  /** Begins to list. */
-  void start();
+  /**
+   * Follows the store from now on, unless it does so already.
+   * @param Known Revision that is known; 0 begins with a listing.
+   */
+  void resume(uint64_t Known);
+  /** Leaves the store to other instances. */
+  void pause();
   /** Ends all calls; the callbacks are not called afterwards. */
   void stop();
 
   /** Replaces a watch that has missed a change which another instance saw. */
   void restartWatch();
 
-  /** @return Whether the last call succeeded. */
-  bool isHealthy() const { return this->Healthy; }
+  /** @return Whether it follows the store and the last call succeeded. */
+  bool isHealthy() const { return this->Healthy && !this->Paused; }
+  /** @return Whether it leaves the store to other instances. */
+  bool isPaused() const { return this->Paused; }
   /** @param Now Current time. @return Whether nothing has failed for longer
    * than lapsed entries take to come back. */
   bool isStable(base::TimePoint Now) const;
@@ -72,6 +78,7 @@
   void fail(const std::string &Reason);
   void succeed();
   void retryLater();
+  void continueAfter(base::Duration Pause);
 
   boost::asio::io_context &Context;
   discovery::StoreDialect Dialect;
@@ -79,12 +86,13 @@
   std::shared_ptr<net::HttpPool> Pool;
   boost::asio::steady_timer RetryTimer;
   base::Random Generator;
-  discovery::Snapshot Partial; ///< Pages of the listing in progress.
+  discovery::Update Partial; ///< Pages of the listing in progress.
   std::string LastKey;
   uint64_t Revision = 0; ///< Last one that was delivered; 0: not listed.
   uint32_t FailuresInRow = 0;
   bool Healthy = false;
   bool Stopped = false;
+  bool Paused = true;
   bool RetryPending = false;
   net::ExchangeId Exchange = 0;
   base::TimePoint LastTrouble;
--- a/src/discovery/item_type.h
+++ b/src/discovery/item_type.h
@@ -33,11 +33,13 @@
   bool Deleted = false; ///< The item is gone; it has no value.
 };
 
-/** All items at one revision of the store. */
-struct Snapshot {
-  uint64_t Revision = 0;  ///< Up to which the items are complete.
+/** What brings a view up to a revision. */
+struct Update {
+  uint64_t Revision = 0;  ///< Up to which it is complete.
   uint64_t ChangedAt = 0; ///< Revision of the last known change.
-  std::vector<Item> Items;
+  uint64_t Since = 0;     ///< It applies to views from this revision on.
+  bool Complete = false;  ///< All items; those that are not named are gone.
+  std::vector<Change> Changes;
 };
 
 /** One page of a listing. */
@@ -48,12 +50,6 @@
   bool More = false;
 };
 
-/** Changes since a revision. */
-struct ChangeSet {
-  uint64_t Revision = 0; ///< Up to which the changes are complete.
-  std::vector<Change> Changes;
-};
-
 /** How the platform's store is asked and how its answers are read. */
 struct StoreDialect {
   /** Request target of a page. Takes the last key before it, empty at first. */
@@ -61,7 +57,7 @@
   /** Request target of a watch after a revision that waits for so long. */
   std::function<std::string(uint64_t, std::chrono::milliseconds)> WatchTarget;
   std::function<base::Result<Page>(const std::string &)> DecodePage;
-  std::function<base::Result<ChangeSet>(const std::string &)> DecodeChanges;
+  std::function<base::Result<Update>(const std::string &)> DecodeChanges;
   std::function<base::Result<forward::ServerEntry>(const Item &)> DecodeServer;
   std::function<base::Result<forward::RouteTable>(const Item &)> DecodeRoutes;
   /** Status of a watch whose history is no longer available. */
--- a/src/discovery/view.cpp
+++ b/src/discovery/view.cpp
@@ -5,47 +5,86 @@
 
 namespace hickorycrank::discovery {
 
-bool View::apply(base::TimePoint Now, const Snapshot &Newer, Removal Mode) {
-  if (Newer.Revision < this->Revision) {
+bool View::apply(base::TimePoint Now, const Update &Newer, Removal Mode) {
+  if (Newer.Revision < this->Revision ||
+      (!Newer.Complete && Newer.Since > this->Revision)) {
     return false;
   }
-  std::set<Key> Present;
-  for (const Item &Entry : Newer.Items) {
-    Key Which{Entry.Kind, Entry.Name};
-    Present.insert(Which);
-    this->ChangedAt = std::max(this->ChangedAt, Entry.Revision);
-    this->Items[Which] = Held{Entry, std::nullopt};
+  for (const Change &Entry : Newer.Changes) {
+    this->applyChange(Now, Entry, Mode);
+  }
+  if (Newer.Complete) {
+    this->removeUnnamed(Now, Newer, Mode);
+    this->Log.clear();
+    this->LogStart = Newer.Revision;
+  }
+  this->Revision = Newer.Revision;
+  this->ChangedAt = std::max(this->ChangedAt, Newer.ChangedAt);
+  return true;
+}
+
+void View::applyChange(base::TimePoint Now, const Change &Entry, Removal Mode) {
+  Key Which{Entry.Changed.Kind, Entry.Changed.Name};
+  this->ChangedAt = std::max(this->ChangedAt, Entry.Changed.Revision);
+  auto Known = this->Items.find(Which);
+  // A watch repeats what a listing may have shown already.
+  if (Known != this->Items.end() &&
+      Entry.Changed.Revision < Known->second.Known.Revision) {
+    return;
+  }
+  this->record(Entry);
+  if (Entry.Deleted) {
+    this->remove(Now, Which, Mode);
+    return;
+  }
+  this->Items[Which] = Held{Entry.Changed, std::nullopt};
+}
+
+void View::removeUnnamed(base::TimePoint Now, const Update &Newer,
+                         Removal Mode) {
+  std::set<Key> Named;
+  for (const Change &Entry : Newer.Changes) {
+    Named.insert({Entry.Changed.Kind, Entry.Changed.Name});
   }
   std::vector<Key> Absent;
   for (const auto &[Which, Entry] : this->Items) {
-    if (Present.count(Which) == 0) {
+    if (Named.count(Which) == 0) {
       Absent.push_back(Which);
     }
   }
   for (const Key &Which : Absent) {
     this->remove(Now, Which, Mode);
   }
-  this->Revision = Newer.Revision;
-  this->ChangedAt = std::max(this->ChangedAt, Newer.ChangedAt);
-  return true;
 }
 
-void View::apply(base::TimePoint Now, const ChangeSet &Newer, Removal Mode) {
-  for (const Change &Entry : Newer.Changes) {
-    Key Which{Entry.Changed.Kind, Entry.Changed.Name};
-    this->ChangedAt = std::max(this->ChangedAt, Entry.Changed.Revision);
-    auto Known = this->Items.find(Which);
-    if (Known != this->Items.end() &&
-        Entry.Changed.Revision < Known->second.Known.Revision) {
-      continue;
+void View::record(const Change &Entry) {
+  this->Log.push_back(Entry);
+  if (this->Log.size() > MaxLog) {
+    this->LogStart = this->Log.front().Changed.Revision;
+    this->Log.pop_front();
+  }
+}
+
+Update View::updateSince(uint64_t Since) const {
+  Update Result;
+  Result.Revision = this->Revision;
+  Result.ChangedAt = this->ChangedAt;
+  if (Since != 0 && Since >= this->LogStart) {
+    Result.Since = Since;
+    for (const Change &Entry : this->Log) {
+      if (Entry.Changed.Revision > Since) {
+        Result.Changes.push_back(Entry);
+      }
     }
-    if (Entry.Deleted) {
-      this->remove(Now, Which, Mode);
-    } else {
-      this->Items[Which] = Held{Entry.Changed, std::nullopt};
+    return Result;
+  }
+  Result.Complete = true;
+  for (const auto &[Which, Entry] : this->Items) {
+    if (!Entry.RemoveAt) {
+      Result.Changes.push_back({Entry.Known, false});
     }
   }
-  this->Revision = std::max(this->Revision, Newer.Revision);
+  return Result;
 }
 
 bool View::expire(base::TimePoint Now) {
@@ -64,25 +103,10 @@
   return Found;
 }
 
-Snapshot View::snapshot() const {
-  Snapshot All;
-  All.Revision = this->Revision;
-  All.ChangedAt = this->ChangedAt;
-  for (const auto &[Which, Entry] : this->Items) {
-    if (!Entry.RemoveAt) {
-      All.Items.push_back(Entry.Known);
-    }
-  }
-  return All;
-}
-
 void View::remove(base::TimePoint Now, const Key &Which, Removal Mode) {
   auto Known = this->Items.find(Which);
-  if (Known == this->Items.end()) {
-    return;
-  }
   // The configuration is only ever replaced.
-  if (Which.first == ItemKind::Configuration) {
+  if (Known == this->Items.end() || Which.first == ItemKind::Configuration) {
     return;
   }
   if (Mode == Removal::Immediate) {
--- a/src/discovery/view_base.h
+++ b/src/discovery/view_base.h
@@ -4,6 +4,7 @@
 #include "base/time_type.h"
 #include "discovery/item_type.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -27,21 +28,22 @@
   static constexpr base::Duration HoldTime = std::chrono::milliseconds(2'400);
 
   /**
-   * Replaces all items unless the snapshot is older than this view.
+   * Applies an update.
    * @param Now Current time.
-   * @param Newer The snapshot.
-   * @param Mode What to do with items that are not in it.
-   * @return Whether it was taken.
+   * @param Newer The update.
+   * @param Mode What to do with items that are deleted or, in a complete
+   *   update, not named.
+   * @return Whether it was taken; older ones and those that begin after this
+   *   view's revision are not.
    */
-  bool apply(base::TimePoint Now, const Snapshot &Newer, Removal Mode);
+  bool apply(base::TimePoint Now, const Update &Newer, Removal Mode);
 
   /**
-   * Applies changes in their order.
-   * @param Now Current time.
-   * @param Newer The changes.
-   * @param Mode What to do with deleted items.
+   * Collects what a peer needs.
+   * @param Since Revision of the peer's view; 0 if it has none.
+   * @return The changes since then, or all items if they are not known.
    */
-  void apply(base::TimePoint Now, const ChangeSet &Newer, Removal Mode);
+  Update updateSince(uint64_t Since) const;
 
   /**
    * Removes items whose hold time has passed.
@@ -52,8 +54,6 @@
 
   /** @return Items of one kind, held ones included. @param Kind The kind. */
   std::vector<Item> items(ItemKind Kind) const;
-  /** @return All items but those that are held, for peers. */
-  Snapshot snapshot() const;
   /** @return Revision up to which the view is complete; 0 if empty. */
   uint64_t revision() const { return this->Revision; }
   /** @return Revision of the last known change; 0 if empty. */
@@ -66,11 +66,19 @@
   };
   using Key = std::pair<ItemKind, std::string>;
 
+  /** Changes that are kept for peers. */
+  static constexpr size_t MaxLog = 1'024;
+
+  void applyChange(base::TimePoint Now, const Change &Entry, Removal Mode);
+  void removeUnnamed(base::TimePoint Now, const Update &Newer, Removal Mode);
+  void record(const Change &Entry);
   void remove(base::TimePoint Now, const Key &Which, Removal Mode);
 
   std::map<Key, Held> Items;
   uint64_t Revision = 0;
   uint64_t ChangedAt = 0;
+  std::deque<Change> Log; ///< Changes after LogStart, in their order.
+  uint64_t LogStart = 0;
 };
 
 } // namespace hickorycrank::discovery
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -15,9 +15,11 @@
   std::string Control; ///< "IP:port" that serves snapshots of the view.
   base::Incarnation Process;
   bool Leaving = false;
-  uint64_t ChangedAt = 0;         ///< Revision of the last change of its view.
-  bool StoreHealthy = false;      ///< The sender reads the platform's store.
-  std::vector<std::string> Peers; ///< Addresses that the sender knows.
+  uint64_t ChangedAt = 0; ///< Revision of the last change of its view.
+  base::FailureDomainId Domain;
+  bool StoreHealthy = false;      ///< Its last call to the store succeeded.
+  bool StoreStable = false;       ///< No call has failed for some seconds.
+  std::vector<std::string> Peers; ///< Some addresses that the sender knows.
   std::vector<base::Fingerprint> Quarantined; ///< Crashing requests.
 };
 
--- a/src/fleet/roster_base.h
+++ b/src/fleet/roster_base.h
@@ -24,10 +24,13 @@
 
   /**
    * Creates a roster.
+   * @param Now Current time.
    * @param Own Address of this instance for heartbeats.
+   * @param Domain Failure domain of this instance.
    * @param Seed For the choice of targets.
    */
-  Roster(std::string Own, uint64_t Seed);
+  Roster(base::TimePoint Now, std::string Own, base::FailureDomainId Domain,
+         uint64_t Seed);
 
   /** Replaces the seeds. @param Addresses Where to look for instances. */
   void setSeeds(std::vector<std::string> Addresses);
@@ -42,7 +45,8 @@
   /**
    * Chooses where to send this period's heartbeat.
    * @param Now Current time.
-   * @return Addresses of instances and of seeds that have not answered.
+   * @return The instances of the own failure domain, some of the others, and
+   *   addresses that have not been heard.
    */
   std::vector<std::string> targets(base::TimePoint Now);
 
@@ -55,16 +59,29 @@
   size_t instances(base::TimePoint Now) const;
 
   /**
-   * Finds an instance whose view has been ahead for longer than the platform
-   * usually takes to deliver a change.
+   * Finds an instance whose view is ahead; one of the own failure domain if
+   * there is any.
    * @param Now Current time.
    * @param ChangedAt Revision of the last change of the own view.
-   * @return The heartbeat of the instance with the newest view, or nothing.
+   * @param Reading Whether this instance reads the store; then its own watch
+   *   gets some time to deliver the change.
+   * @return The last heartbeat of that instance, or nothing.
+   */
+  std::optional<Heartbeat> findAhead(base::TimePoint Now, uint64_t ChangedAt,
+                                     bool Reading);
+
+  /**
+   * Decides whether this instance reads the store. One instance of each
+   * failure domain does, so that the number of calls does not grow with the
+   * fleet; others take over in a fixed order if it loses the store.
+   * @param Now Current time.
+   * @param HasView Whether this instance knows anything from the store.
+   * @return Whether to read.
    */
-  std::optional<Heartbeat> findAhead(base::TimePoint Now, uint64_t ChangedAt);
+  bool shouldRead(base::TimePoint Now, bool HasView);
 
-  /** @return Known addresses, at most as many as a heartbeat carries. */
-  std::vector<std::string> addresses() const;
+  /** @return Some known addresses, for a heartbeat. */
+  std::vector<std::string> addresses();
 
 private:
   struct Peer {
@@ -72,7 +89,13 @@
     base::TimePoint HeardAt;
   };
 
+  const Heartbeat *newest(base::TimePoint Now, uint64_t ChangedAt,
+                          bool OwnDomain) const;
+  void shuffle(std::vector<std::string> &Addresses);
+
   std::string Own;
+  base::FailureDomainId Domain;
+  base::TimePoint StartedAt;
   base::Random Generator;
   std::vector<std::string> Seeds;
   std::map<std::string, Peer> Peers;
@@ -80,6 +103,8 @@
   std::map<std::string, base::TimePoint> Hearsay;
   base::TimePoint AheadSince = base::TimePoint::max();
   uint64_t AheadOf = 0; ///< Own revision at AheadSince.
+  /** Since when no instance before this one reads the store. */
+  base::TimePoint UnreadSince;
 };
 
 } // namespace hickorycrank::fleet
--- a/src/gen/fleet_types.cpp
+++ b/src/gen/fleet_types.cpp
@@ -49,6 +49,14 @@
 void Heartbeat::__set_quarantined(const std::vector<int64_t> & val) {
   this->quarantined = val;
 }
+
+void Heartbeat::__set_domain(const std::string& val) {
+  this->domain = val;
+}
+
+void Heartbeat::__set_storeStable(const bool val) {
+  this->storeStable = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -76,6 +84,8 @@
   bool isset_storeHealthy = false;
   bool isset_peers = false;
   bool isset_quarantined = false;
+  bool isset_domain = false;
+  bool isset_storeStable = false;
 
   while (true)
   {
@@ -173,6 +183,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->domain);
+          isset_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->storeStable);
+          isset_storeStable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -198,6 +224,10 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_quarantined)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_domain)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_storeStable)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -254,6 +284,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("storeStable", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->storeStable);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -269,6 +307,8 @@
   swap(a.storeHealthy, b.storeHealthy);
   swap(a.peers, b.peers);
   swap(a.quarantined, b.quarantined);
+  swap(a.domain, b.domain);
+  swap(a.storeStable, b.storeStable);
 }
 
 Heartbeat::Heartbeat(const Heartbeat& other12) {
@@ -280,6 +320,8 @@
   storeHealthy = other12.storeHealthy;
   peers = other12.peers;
   quarantined = other12.quarantined;
+  domain = other12.domain;
+  storeStable = other12.storeStable;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other13) {
   address = other13.address;
@@ -290,6 +332,8 @@
   storeHealthy = other13.storeHealthy;
   peers = other13.peers;
   quarantined = other13.quarantined;
+  domain = other13.domain;
+  storeStable = other13.storeStable;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -303,37 +347,43 @@
   out << ", " << "storeHealthy=" << to_string(storeHealthy);
   out << ", " << "peers=" << to_string(peers);
   out << ", " << "quarantined=" << to_string(quarantined);
+  out << ", " << "domain=" << to_string(domain);
+  out << ", " << "storeStable=" << to_string(storeStable);
   out << ")";
 }
 
 
-SnapshotItem::~SnapshotItem() noexcept {
+ViewChange::~ViewChange() noexcept {
 }
 
 
-void SnapshotItem::__set_kind(const int32_t val) {
+void ViewChange::__set_kind(const int32_t val) {
   this->kind = val;
 }
 
-void SnapshotItem::__set_name(const std::string& val) {
+void ViewChange::__set_name(const std::string& val) {
   this->name = val;
 }
 
-void SnapshotItem::__set_value(const std::string& val) {
+void ViewChange::__set_value(const std::string& val) {
   this->value = val;
 }
 
-void SnapshotItem::__set_revision(const int64_t val) {
+void ViewChange::__set_revision(const int64_t val) {
   this->revision = val;
 }
-std::ostream& operator<<(std::ostream& out, const SnapshotItem& obj)
+
+void ViewChange::__set_deleted(const bool val) {
+  this->deleted = val;
+}
+std::ostream& operator<<(std::ostream& out, const ViewChange& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SnapshotItem::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ViewChange::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -349,6 +399,7 @@
   bool isset_name = false;
   bool isset_value = false;
   bool isset_revision = false;
+  bool isset_deleted = false;
 
   while (true)
   {
@@ -390,6 +441,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->deleted);
+          isset_deleted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -407,13 +466,15 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_revision)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_deleted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t SnapshotItem::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ViewChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SnapshotItem");
+  xfer += oprot->writeStructBegin("ViewChange");
 
   xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
   xfer += oprot->writeI32(this->kind);
@@ -431,66 +492,82 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("deleted", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->deleted);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(SnapshotItem &a, SnapshotItem &b) {
+void swap(ViewChange &a, ViewChange &b) {
   using ::std::swap;
   swap(a.kind, b.kind);
   swap(a.name, b.name);
   swap(a.value, b.value);
   swap(a.revision, b.revision);
+  swap(a.deleted, b.deleted);
 }
 
-SnapshotItem::SnapshotItem(const SnapshotItem& other14) {
+ViewChange::ViewChange(const ViewChange& other14) {
   kind = other14.kind;
   name = other14.name;
   value = other14.value;
   revision = other14.revision;
+  deleted = other14.deleted;
 }
-SnapshotItem& SnapshotItem::operator=(const SnapshotItem& other15) {
+ViewChange& ViewChange::operator=(const ViewChange& other15) {
   kind = other15.kind;
   name = other15.name;
   value = other15.value;
   revision = other15.revision;
+  deleted = other15.deleted;
   return *this;
 }
-void SnapshotItem::printTo(std::ostream& out) const {
+void ViewChange::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SnapshotItem(";
+  out << "ViewChange(";
   out << "kind=" << to_string(kind);
   out << ", " << "name=" << to_string(name);
   out << ", " << "value=" << to_string(value);
   out << ", " << "revision=" << to_string(revision);
+  out << ", " << "deleted=" << to_string(deleted);
   out << ")";
 }
 
 
-ViewSnapshot::~ViewSnapshot() noexcept {
+ViewUpdate::~ViewUpdate() noexcept {
 }
 
 
-void ViewSnapshot::__set_revision(const int64_t val) {
+void ViewUpdate::__set_revision(const int64_t val) {
   this->revision = val;
 }
 
-void ViewSnapshot::__set_changedAt(const int64_t val) {
+void ViewUpdate::__set_changedAt(const int64_t val) {
   this->changedAt = val;
 }
 
-void ViewSnapshot::__set_items(const std::vector<SnapshotItem> & val) {
-  this->items = val;
+void ViewUpdate::__set_since(const int64_t val) {
+  this->since = val;
 }
-std::ostream& operator<<(std::ostream& out, const ViewSnapshot& obj)
+
+void ViewUpdate::__set_complete(const bool val) {
+  this->complete = val;
+}
+
+void ViewUpdate::__set_changes(const std::vector<ViewChange> & val) {
+  this->changes = val;
+}
+std::ostream& operator<<(std::ostream& out, const ViewUpdate& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ViewSnapshot::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ViewUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -504,7 +581,9 @@
 
   bool isset_revision = false;
   bool isset_changedAt = false;
-  bool isset_items = false;
+  bool isset_since = false;
+  bool isset_complete = false;
+  bool isset_changes = false;
 
   while (true)
   {
@@ -531,21 +610,37 @@
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->since);
+          isset_since = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          isset_complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->items.clear();
+            this->changes.clear();
             uint32_t _size16;
             ::apache::thrift::protocol::TType _etype19;
             xfer += iprot->readListBegin(_etype19, _size16);
-            this->items.resize(_size16);
+            this->changes.resize(_size16);
             uint32_t _i20;
             for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += this->items[_i20].read(iprot);
+              xfer += this->changes[_i20].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          isset_items = true;
+          isset_changes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -563,15 +658,19 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_changedAt)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_items)
+  if (!isset_since)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_complete)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_changes)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t ViewSnapshot::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ViewUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ViewSnapshot");
+  xfer += oprot->writeStructBegin("ViewUpdate");
 
   xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->revision);
@@ -581,11 +680,19 @@
   xfer += oprot->writeI64(this->changedAt);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
+  xfer += oprot->writeFieldBegin("since", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->since);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->complete);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 5);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<SnapshotItem> ::const_iterator _iter21;
-    for (_iter21 = this->items.begin(); _iter21 != this->items.end(); ++_iter21)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
+    std::vector<ViewChange> ::const_iterator _iter21;
+    for (_iter21 = this->changes.begin(); _iter21 != this->changes.end(); ++_iter21)
     {
       xfer += (*_iter21).write(oprot);
     }
@@ -598,30 +705,38 @@
   return xfer;
 }
 
-void swap(ViewSnapshot &a, ViewSnapshot &b) {
+void swap(ViewUpdate &a, ViewUpdate &b) {
   using ::std::swap;
   swap(a.revision, b.revision);
   swap(a.changedAt, b.changedAt);
-  swap(a.items, b.items);
+  swap(a.since, b.since);
+  swap(a.complete, b.complete);
+  swap(a.changes, b.changes);
 }
 
-ViewSnapshot::ViewSnapshot(const ViewSnapshot& other22) {
+ViewUpdate::ViewUpdate(const ViewUpdate& other22) {
   revision = other22.revision;
   changedAt = other22.changedAt;
-  items = other22.items;
+  since = other22.since;
+  complete = other22.complete;
+  changes = other22.changes;
 }
-ViewSnapshot& ViewSnapshot::operator=(const ViewSnapshot& other23) {
+ViewUpdate& ViewUpdate::operator=(const ViewUpdate& other23) {
   revision = other23.revision;
   changedAt = other23.changedAt;
-  items = other23.items;
+  since = other23.since;
+  complete = other23.complete;
+  changes = other23.changes;
   return *this;
 }
-void ViewSnapshot::printTo(std::ostream& out) const {
+void ViewUpdate::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ViewSnapshot(";
+  out << "ViewUpdate(";
   out << "revision=" << to_string(revision);
   out << ", " << "changedAt=" << to_string(changedAt);
-  out << ", " << "items=" << to_string(items);
+  out << ", " << "since=" << to_string(since);
+  out << ", " << "complete=" << to_string(complete);
+  out << ", " << "changes=" << to_string(changes);
   out << ")";
 }
 
--- a/src/gen/fleet_types.h
+++ b/src/gen/fleet_types.h
@@ -23,9 +23,9 @@
 
 class Heartbeat;
 
-class SnapshotItem;
+class ViewChange;
 
-class ViewSnapshot;
+class ViewUpdate;
 
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -39,7 +39,9 @@
               incarnation(0),
               leaving(0),
               changedAt(0),
-              storeHealthy(0) {
+              storeHealthy(0),
+              domain(),
+              storeStable(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -51,6 +53,8 @@
   bool storeHealthy;
   std::vector<std::string>  peers;
   std::vector<int64_t>  quarantined;
+  std::string domain;
+  bool storeStable;
 
   void __set_address(const std::string& val);
 
@@ -68,6 +72,10 @@
 
   void __set_quarantined(const std::vector<int64_t> & val);
 
+  void __set_domain(const std::string& val);
+
+  void __set_storeStable(const bool val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(address == rhs.address))
@@ -86,6 +94,10 @@
       return false;
     if (!(quarantined == rhs.quarantined))
       return false;
+    if (!(domain == rhs.domain))
+      return false;
+    if (!(storeStable == rhs.storeStable))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -105,23 +117,25 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 
-class SnapshotItem : public virtual ::apache::thrift::TBase {
+class ViewChange : public virtual ::apache::thrift::TBase {
  public:
 
-  SnapshotItem(const SnapshotItem&);
-  SnapshotItem& operator=(const SnapshotItem&);
-  SnapshotItem() noexcept
-               : kind(0),
-                 name(),
-                 value(),
-                 revision(0) {
+  ViewChange(const ViewChange&);
+  ViewChange& operator=(const ViewChange&);
+  ViewChange() noexcept
+             : kind(0),
+               name(),
+               value(),
+               revision(0),
+               deleted(0) {
   }
 
-  virtual ~SnapshotItem() noexcept;
+  virtual ~ViewChange() noexcept;
   int32_t kind;
   std::string name;
   std::string value;
   int64_t revision;
+  bool deleted;
 
   void __set_kind(const int32_t val);
 
@@ -131,7 +145,9 @@
 
   void __set_revision(const int64_t val);
 
-  bool operator == (const SnapshotItem & rhs) const
+  void __set_deleted(const bool val);
+
+  bool operator == (const ViewChange & rhs) const
   {
     if (!(kind == rhs.kind))
       return false;
@@ -141,13 +157,15 @@
       return false;
     if (!(revision == rhs.revision))
       return false;
+    if (!(deleted == rhs.deleted))
+      return false;
     return true;
   }
-  bool operator != (const SnapshotItem &rhs) const {
+  bool operator != (const ViewChange &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const SnapshotItem & ) const;
+  bool operator < (const ViewChange & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -155,47 +173,59 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(SnapshotItem &a, SnapshotItem &b);
+void swap(ViewChange &a, ViewChange &b);
 
-std::ostream& operator<<(std::ostream& out, const SnapshotItem& obj);
+std::ostream& operator<<(std::ostream& out, const ViewChange& obj);
 
 
-class ViewSnapshot : public virtual ::apache::thrift::TBase {
+class ViewUpdate : public virtual ::apache::thrift::TBase {
  public:
 
-  ViewSnapshot(const ViewSnapshot&);
-  ViewSnapshot& operator=(const ViewSnapshot&);
-  ViewSnapshot() noexcept
-               : revision(0),
-                 changedAt(0) {
+  ViewUpdate(const ViewUpdate&);
+  ViewUpdate& operator=(const ViewUpdate&);
+  ViewUpdate() noexcept
+             : revision(0),
+               changedAt(0),
+               since(0),
+               complete(0) {
   }
 
-  virtual ~ViewSnapshot() noexcept;
+  virtual ~ViewUpdate() noexcept;
   int64_t revision;
   int64_t changedAt;
-  std::vector<SnapshotItem>  items;
+  int64_t since;
+  bool complete;
+  std::vector<ViewChange>  changes;
 
   void __set_revision(const int64_t val);
 
   void __set_changedAt(const int64_t val);
 
-  void __set_items(const std::vector<SnapshotItem> & val);
+  void __set_since(const int64_t val);
+
+  void __set_complete(const bool val);
+
+  void __set_changes(const std::vector<ViewChange> & val);
 
-  bool operator == (const ViewSnapshot & rhs) const
+  bool operator == (const ViewUpdate & rhs) const
   {
     if (!(revision == rhs.revision))
       return false;
     if (!(changedAt == rhs.changedAt))
       return false;
-    if (!(items == rhs.items))
+    if (!(since == rhs.since))
+      return false;
+    if (!(complete == rhs.complete))
+      return false;
+    if (!(changes == rhs.changes))
       return false;
     return true;
   }
-  bool operator != (const ViewSnapshot &rhs) const {
+  bool operator != (const ViewUpdate &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const ViewSnapshot & ) const;
+  bool operator < (const ViewUpdate & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -203,9 +233,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ViewSnapshot &a, ViewSnapshot &b);
+void swap(ViewUpdate &a, ViewUpdate &b);
 
-std::ostream& operator<<(std::ostream& out, const ViewSnapshot& obj);
+std::ostream& operator<<(std::ostream& out, const ViewUpdate& obj);
 
 }} // namespace
 
--- a/src/net/fleet_codec_func.cpp
+++ b/src/net/fleet_codec_func.cpp
@@ -67,6 +67,8 @@
   Wire.leaving = Source.Leaving;
   Wire.changedAt = static_cast<int64_t>(Source.ChangedAt);
   Wire.storeHealthy = Source.StoreHealthy;
+  Wire.storeStable = Source.StoreStable;
+  Wire.domain = Source.Domain.Value;
   Wire.peers = Source.Peers;
   for (base::Fingerprint Content : Source.Quarantined) {
     Wire.quarantined.push_back(static_cast<int64_t>(Content.Value));
@@ -94,6 +96,8 @@
   Result.Leaving = Wire.leaving;
   Result.ChangedAt = static_cast<uint64_t>(Wire.changedAt);
   Result.StoreHealthy = Wire.storeHealthy;
+  Result.StoreStable = Wire.storeStable;
+  Result.Domain = base::FailureDomainId(Wire.domain);
   for (const std::string &Peer : Wire.peers) {
     if (config::parseEndpoint(Peer)) {
       Result.Peers.push_back(Peer);
@@ -105,34 +109,39 @@
   return Result;
 }
 
-std::string encodeSnapshot(const discovery::Snapshot &Source) {
-  gen::ViewSnapshot Wire;
+std::string encodeUpdate(const discovery::Update &Source) {
+  gen::ViewUpdate Wire;
   Wire.revision = static_cast<int64_t>(Source.Revision);
   Wire.changedAt = static_cast<int64_t>(Source.ChangedAt);
-  for (const discovery::Item &Entry : Source.Items) {
-    gen::SnapshotItem Item;
-    Item.kind = static_cast<int32_t>(Entry.Kind);
-    Item.name = Entry.Name;
-    Item.value = Entry.Value;
-    Item.revision = static_cast<int64_t>(Entry.Revision);
-    Wire.items.push_back(std::move(Item));
+  Wire.since = static_cast<int64_t>(Source.Since);
+  Wire.complete = Source.Complete;
+  for (const discovery::Change &Entry : Source.Changes) {
+    gen::ViewChange Change;
+    Change.kind = static_cast<int32_t>(Entry.Changed.Kind);
+    Change.name = Entry.Changed.Name;
+    Change.value = Entry.Changed.Value;
+    Change.revision = static_cast<int64_t>(Entry.Changed.Revision);
+    Change.deleted = Entry.Deleted;
+    Wire.changes.push_back(std::move(Change));
   }
   return encode(Wire);
 }
 
-base::Result<discovery::Snapshot> decodeSnapshot(std::string_view Bytes) {
-  auto Decoded = decode<gen::ViewSnapshot>(Bytes, "snapshot");
+base::Result<discovery::Update> decodeUpdate(std::string_view Bytes) {
+  auto Decoded = decode<gen::ViewUpdate>(Bytes, "view update");
   if (!Decoded) {
     return Decoded.error();
   }
-  gen::ViewSnapshot Wire = std::move(Decoded.value());
-  if (Wire.items.size() > MaxItems) {
-    return Error{ErrorKind::TooLarge, "snapshot: too many items"};
+  gen::ViewUpdate Wire = std::move(Decoded.value());
+  if (Wire.changes.size() > MaxItems) {
+    return Error{ErrorKind::TooLarge, "view update: too many changes"};
   }
-  discovery::Snapshot Result;
+  discovery::Update Result;
   Result.Revision = static_cast<uint64_t>(Wire.revision);
   Result.ChangedAt = static_cast<uint64_t>(Wire.changedAt);
-  for (gen::SnapshotItem &Entry : Wire.items) {
+  Result.Since = static_cast<uint64_t>(Wire.since);
+  Result.Complete = Wire.complete;
+  for (gen::ViewChange &Entry : Wire.changes) {
     bool Server =
         Entry.kind == static_cast<int32_t>(discovery::ItemKind::Server);
     bool Configuration =
@@ -140,10 +149,11 @@
     if (!Server && !Configuration) {
       continue; // A newer release may know more kinds.
     }
-    Result.Items.push_back({Server ? discovery::ItemKind::Server
-                                   : discovery::ItemKind::Configuration,
-                            std::move(Entry.name), std::move(Entry.value),
-                            static_cast<uint64_t>(Entry.revision)});
+    Result.Changes.push_back({{Server ? discovery::ItemKind::Server
+                                      : discovery::ItemKind::Configuration,
+                               std::move(Entry.name), std::move(Entry.value),
+                               static_cast<uint64_t>(Entry.revision)},
+                              Entry.deleted});
   }
   return Result;
 }
--- a/src/net/fleet_codec_func.h
+++ b/src/net/fleet_codec_func.h
@@ -20,15 +20,15 @@
  */
 base::Result<fleet::Heartbeat> decodeHeartbeat(std::string_view Bytes);
 
-/** @param Source A snapshot of the view. @return Its bytes. */
-std::string encodeSnapshot(const discovery::Snapshot &Source);
+/** @param Source An update of a view. @return Its bytes. */
+std::string encodeUpdate(const discovery::Update &Source);
 
 /**
- * Reads a snapshot.
- * @param Bytes A whole snapshot.
- * @return The snapshot, or Protocol if the bytes are not one.
+ * Reads an update of a view.
+ * @param Bytes A whole update.
+ * @return The update, or Protocol if the bytes are not one.
  */
-base::Result<discovery::Snapshot> decodeSnapshot(std::string_view Bytes);
+base::Result<discovery::Update> decodeUpdate(std::string_view Bytes);
 
 } // namespace hickorycrank::net
 
--- a/thrift/fleet.thrift
+++ b/thrift/fleet.thrift
@@ -9,21 +9,26 @@
   3: required i64 incarnation;
   4: required bool leaving;
   5: required i64 changedAt;        // revision of the view's last change
-  6: required bool storeHealthy;
-  7: required list<string> peers;   // datagram addresses
+  6: required bool storeHealthy;    // the last call to the store succeeded
+  7: required list<string> peers;   // some datagram addresses
   8: required list<i64> quarantined; // content of crashing requests
+  9: required string domain;        // failure domain
+  10: required bool storeStable;    // no call has failed for some seconds
 }
 
-struct SnapshotItem {
+struct ViewChange {
   1: required i32 kind;
   2: required string name;
   3: required binary value;
   4: required i64 revision;
+  5: required bool deleted;
 }
 
-// Everything that an instance knows from the platform's store.
-struct ViewSnapshot {
+// What an instance knows from the platform's store, or what has changed.
+struct ViewUpdate {
   1: required i64 revision;
   2: required i64 changedAt;
-  3: required list<SnapshotItem> items;
+  3: required i64 since;   // applies to views from this revision on
+  4: required bool complete; // items that are not named are gone
+  5: required list<ViewChange> changes;
 }
