Test the view, the roster and the platform adapter

Guards: lapsed entries held during an outage, immediate removal otherwise, no step back, changes for peers, one reader in each failure domain, entries of other writers, and that the platform's names occur nowhere in src/.

--- /dev/null
+++ b/tests/platform_adapter_test.cpp
@@ -0,0 +1,158 @@
+// What the adapter in platform/ decodes, and that its names stay there.
+#include "platform/dialect_func.h"
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <sstream>
+
+using namespace hickorycrank;
+using discovery::Item;
+using discovery::ItemKind;
+
+namespace {
+
+const char *const SettingsText = R"(
+node = "front-1"
+zone = "zone-a"
+ip-address = "10.1.0.39"
+internal-port-range = [7740, 7755]
+seeds = ["10.1.0.39:8224", "10.2.0.33:8224", "bad"]
+unknown-key = { a = 1 }
+[listen-addresses]
+front = "10.1.0.39:8226"
+readiness-address = "10.1.0.39:8227"
+control = "10.1.0.39:8224"
+[bounds]
+grace-period-s = 6
+retry-budget-ratio = 0.2
+budget-window-s = 10
+retry-budget-slack = 54
+[platform]
+address = "10.200.1.7:8229"
+)";
+
+Item server(const std::string &Value) {
+  return {ItemKind::Server, "i-1", Value, 7};
+}
+
+Item routes(const std::string &Value) {
+  return {ItemKind::Configuration, "", Value, 7};
+}
+
+} // namespace
+
+// Guards against settings that are misread or that need unknown keys.
+TEST_CASE("settings of the platform are decoded", "[platform]") {
+  auto Own = platform::readSettings(SettingsText, "settings.toml");
+  REQUIRE(Own);
+  CHECK(Own.value().Domain.Value == "zone-a");
+  CHECK(Own.value().Callers.Port == 8226);
+  CHECK(Own.value().Heartbeats.Port == 7740);
+  CHECK(Own.value().Seeds.size() == 2);
+  CHECK(Own.value().Extra.Slack == 54);
+  CHECK(Own.value().Extra.Window == std::chrono::seconds(10));
+  auto Bad = platform::readSettings("node = 3", "settings.toml");
+  REQUIRE_FALSE(Bad);
+  CHECK(Bad.error().Message.find("node") != std::string::npos);
+  CHECK_FALSE(platform::readSettings("[", "settings.toml"));
+}
+
+// Guards against an entry of another writer that stops the whole list.
+TEST_CASE("entries that cannot be read name no server", "[platform]") {
+  auto Store = platform::makeStoreDialect();
+  auto Good = Store.DecodeServer(server(
+      R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1",
+          "slots":3,"state":"draining","cold-remaining-ms":40,"sequence":4,
+          "born":1700})"));
+  REQUIRE(Good);
+  CHECK(Good.value().Leaving);
+  CHECK(Good.value().StartedAt == 1700);
+  CHECK(Good.value().Slots == 3);
+  const char *Base = R"({"service":"s","address":"10.0.0.1:1","zone":"z",)";
+  for (const char *Rest :
+       {R"("slots":3,"state":"resting","cold-remaining-ms":0})",
+        R"("slots":"3","state":"ready","cold-remaining-ms":0})",
+        R"("slots":-3,"state":"ready","cold-remaining-ms":0})",
+        R"("slots":3,"cold-remaining-ms":0})", R"("slots":3)"}) {
+    CHECK_FALSE(Store.DecodeServer(server(std::string(Base) + Rest)));
+  }
+  CHECK_FALSE(Store.DecodeServer(server("\xff\xfe")));
+  CHECK_FALSE(Store.DecodeServer(server("[]")));
+  CHECK_FALSE(Store.DecodeServer(server("")));
+}
+
+// Guards against a listing that stops at an item that is not understood.
+TEST_CASE("pages and watches of the store are decoded", "[platform]") {
+  auto Store = platform::makeStoreDialect();
+  auto Page = Store.DecodePage(
+      R"({"items":[{"key":"op/config","value":"e30=","revision":3,
+          "created":1,"lease":0},{"key":"other","value":"","revision":4},
+          {"key":"servers/i-9","value":"bm9kZS0x","revision":5}],
+          "has-more":true,"as-of":9})");
+  REQUIRE(Page);
+  CHECK(Page.value().Items.size() == 2);
+  CHECK(Page.value().Last == "servers/i-9");
+  CHECK(Page.value().More);
+  CHECK(Page.value().Items[1].Value == "node-1");
+  auto Newer = Store.DecodeChanges(
+      R"({"events":[{"key":"servers/i-9","revision":11,"deleted":true},
+          {"key":"op/config","value":"e30=","revision":12}],"as-of":12})");
+  REQUIRE(Newer);
+  REQUIRE(Newer.value().Changes.size() == 2);
+  CHECK(Newer.value().Changes[0].Deleted);
+  CHECK(Newer.value().Changes[0].Changed.Name == "i-9");
+  CHECK_FALSE(Store.DecodeChanges(R"({"events":3,"as-of":12})"));
+  CHECK_FALSE(Store.DecodePage("no JSON"));
+  CHECK(Store.ListTarget("servers/a b").find("a%20b") != std::string::npos);
+}
+
+// Guards against routes that lose what an operator has set.
+TEST_CASE("a configuration is decoded", "[platform]") {
+  auto Store = platform::makeStoreDialect();
+  auto Table = Store.DecodeRoutes(routes(
+      R"({"version":7,"routes":[
+        {"name":"a","host":"h","prefix":"/a/","kind":"safe","timeout-ms":600,
+         "target-latency-ms":60,"priority":2,"gather":["x","y"],
+         "max-attempts":2,"top-k":5,"min-shard-fraction":0.75},
+        {"name":"b","host":"h","prefix":"/b/","kind":"unsafe",
+         "timeout-ms":6000,"target-latency-ms":600,"priority":2,
+         "traffic-split":[{"service":"x","weight":3},
+                          {"service":"y","weight":1}]}],
+        "services":[{"name":"x","health-path":"/health",
+                     "max-connections":31}],
+        "limits":{"max-header-bytes":16384,"max-body-bytes":262144,
+                  "header-timeout-ms":3000,"idle-timeout-ms":15000}})"));
+  REQUIRE(Table);
+  const forward::RouteTable &Known = Table.value();
+  REQUIRE(Known.Routes.size() == 2);
+  CHECK(Known.Routes[0].fansOut());
+  CHECK(Known.Routes[0].Idempotent);
+  CHECK(Known.Routes[0].MaxAttempts == 2);
+  CHECK_FALSE(Known.Routes[1].Idempotent);
+  CHECK(Known.Routes[1].MaxAttempts == 1);
+  CHECK(Known.Routes[1].Choices.size() == 2);
+  CHECK(Known.Services.at("x").MaxConnections == 31);
+  CHECK(Known.Limits.IdleTimeout == std::chrono::seconds(15));
+  CHECK_FALSE(Store.DecodeRoutes(routes(R"({"version":7,"routes":[{}]})")));
+}
+
+// Guards against names of the platform's wire outside the adapter.
+TEST_CASE("the platform's names stay in the adapter", "[platform]") {
+  std::regex Names("X-Hickorycrank|kv-(key|range|watch)|op/config|"
+                   "listen-addresses|traffic-split|min-shard-fraction|"
+                   "cold-remaining|readiness-address");
+  std::filesystem::path Root(HICKORYCRANK_SOURCE_DIR);
+  for (const auto &Entry :
+       std::filesystem::recursive_directory_iterator(Root / "src")) {
+    if (!Entry.is_regular_file()) {
+      continue;
+    }
+    std::ifstream File(Entry.path());
+    std::ostringstream Text;
+    Text << File.rdbuf();
+    INFO(Entry.path());
+    CHECK_FALSE(std::regex_search(Text.str(), Names));
+  }
+}
--- /dev/null
+++ b/tests/view_test.cpp
@@ -0,0 +1,192 @@
+// The view of the platform's store and the roster of instances.
+#include "discovery/view_base.h"
+#include "fleet/roster_base.h"
+#include "net/fleet_codec_func.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace hickorycrank;
+using namespace std::chrono_literals;
+using discovery::Change;
+using discovery::ItemKind;
+using discovery::Removal;
+using discovery::Update;
+using discovery::View;
+
+namespace {
+
+Change put(const std::string &Name, uint64_t Revision,
+           const std::string &Value = "v") {
+  return {{ItemKind::Server, Name, Value, Revision}, false};
+}
+
+Change removed(const std::string &Name, uint64_t Revision) {
+  return {{ItemKind::Server, Name, "", Revision}, true};
+}
+
+Update listing(uint64_t Revision, std::vector<Change> Items) {
+  return {Revision, Revision, 0, true, std::move(Items)};
+}
+
+Update changes(uint64_t Since, uint64_t Revision, std::vector<Change> Items) {
+  return {Revision, Revision, Since, false, std::move(Items)};
+}
+
+fleet::Heartbeat heartbeat(const std::string &Address,
+                           const std::string &Domain, bool Healthy,
+                           uint64_t ChangedAt = 0) {
+  fleet::Heartbeat Made;
+  Made.Address = Address;
+  Made.Control = Address;
+  Made.Domain = base::FailureDomainId(Domain);
+  Made.StoreHealthy = Healthy;
+  Made.ChangedAt = ChangedAt;
+  return Made;
+}
+
+fleet::Roster roster(base::TimePoint Now, const std::string &Own) {
+  return fleet::Roster(Now, Own, base::FailureDomainId("a"), 1);
+}
+
+} // namespace
+
+// Guards against servers that are dropped because their entries lapsed while
+// the store was away, and against ones that stay although they are gone.
+TEST_CASE("items that vanish in an outage are held for a while", "[view]") {
+  View Known;
+  base::TimePoint Now{1h};
+  REQUIRE(Known.apply(Now, listing(5, {put("x", 3), put("y", 4)}),
+                      Removal::Immediate));
+  REQUIRE(Known.apply(Now, listing(9, {put("y", 4)}), Removal::Held));
+  CHECK(Known.items(ItemKind::Server).size() == 2);
+  CHECK_FALSE(Known.expire(Now + 2s));
+  REQUIRE(Known.apply(Now + 2s, changes(9, 10, {put("x", 10)}),
+                      Removal::Immediate));
+  CHECK_FALSE(Known.expire(Now + 10s));
+  CHECK(Known.items(ItemKind::Server).size() == 2);
+  REQUIRE(Known.apply(Now + 10s, listing(11, {put("x", 10)}), Removal::Held));
+  CHECK(Known.expire(Now + 13s));
+  CHECK(Known.items(ItemKind::Server).size() == 1);
+}
+
+// Guards against a removal that is held although the store is reliable: the
+// server would get new work while it leaves.
+TEST_CASE("a removal at a reliable store holds at once", "[view]") {
+  View Known;
+  base::TimePoint Now{1h};
+  Known.apply(Now, listing(5, {put("x", 3)}), Removal::Immediate);
+  Known.apply(Now, changes(5, 6, {removed("x", 6)}), Removal::Immediate);
+  CHECK(Known.items(ItemKind::Server).empty());
+}
+
+// Guards against an old view that replaces a newer one, and against a gap.
+TEST_CASE("a view never goes back and takes no update with a gap", "[view]") {
+  View Known;
+  base::TimePoint Now{1h};
+  Known.apply(Now, listing(5, {put("x", 3)}), Removal::Immediate);
+  CHECK_FALSE(Known.apply(Now, listing(4, {}), Removal::Immediate));
+  CHECK_FALSE(
+      Known.apply(Now, changes(7, 8, {put("y", 8)}), Removal::Immediate));
+  REQUIRE(Known.apply(Now, changes(5, 6, {put("x", 6, "new")}),
+                      Removal::Immediate));
+  // A watch repeats what the listing has shown.
+  REQUIRE(Known.apply(Now, changes(6, 6, {put("x", 4, "old")}),
+                      Removal::Immediate));
+  CHECK(Known.items(ItemKind::Server).front().Value == "new");
+}
+
+// Guards against a peer that misses a change or a removal.
+TEST_CASE("a peer follows by changes or by everything", "[view]") {
+  View Source;
+  View Peer;
+  base::TimePoint Now{1h};
+  Source.apply(Now, listing(5, {put("x", 3), put("y", 4)}), Removal::Immediate);
+  Update First = Source.updateSince(Peer.revision());
+  CHECK(First.Complete);
+  REQUIRE(Peer.apply(Now, First, Removal::Immediate));
+  Source.apply(Now, changes(5, 8, {removed("x", 7), put("z", 8)}),
+               Removal::Immediate);
+  Update Second = Source.updateSince(Peer.revision());
+  CHECK_FALSE(Second.Complete);
+  CHECK(Second.Changes.size() == 2);
+  auto Sent = net::decodeUpdate(net::encodeUpdate(Second));
+  REQUIRE(Sent);
+  REQUIRE(Peer.apply(Now, Sent.value(), Removal::Immediate));
+  CHECK(Peer.items(ItemKind::Server).size() == 2);
+  CHECK(Peer.changedAt() == Source.changedAt());
+  Source.apply(Now, listing(20, {put("z", 8)}), Removal::Immediate);
+  CHECK(Source.updateSince(Peer.revision()).Complete);
+}
+
+// Guards against a crash of an instance on bytes of another program.
+TEST_CASE("bytes that are no message are refused", "[view]") {
+  CHECK_FALSE(net::decodeUpdate("garbage"));
+  CHECK_FALSE(net::decodeUpdate(""));
+  CHECK_FALSE(net::decodeHeartbeat(std::string(300, '\xff')));
+  std::string Whole = net::encodeHeartbeat(heartbeat("127.0.0.1:1", "a", true));
+  REQUIRE(net::decodeHeartbeat(Whole));
+  for (size_t I = 0; I < Whole.size(); ++I) {
+    CHECK_FALSE(net::decodeHeartbeat(Whole.substr(0, I)));
+  }
+}
+
+// Guards against calls to the store that grow with the fleet, and against a
+// failure domain in which nobody reads.
+TEST_CASE("one instance of a failure domain reads the store", "[fleet]") {
+  base::TimePoint Now{1h};
+  fleet::Roster First = roster(Now, "10.0.0.1:7");
+  fleet::Roster Second = roster(Now, "10.0.0.2:7");
+  CHECK_FALSE(First.shouldRead(Now, false));
+  CHECK(First.shouldRead(Now + 400ms, false));
+  Second.onHeartbeat(Now + 400ms, heartbeat("10.0.0.1:7", "a", true));
+  CHECK_FALSE(Second.shouldRead(Now + 400ms, false));
+  // The first one loses the store, then its process.
+  Second.onHeartbeat(Now + 600ms, heartbeat("10.0.0.1:7", "a", false));
+  CHECK_FALSE(Second.shouldRead(Now + 700ms, true));
+  CHECK(Second.shouldRead(Now + 1s, true));
+  Second.onHeartbeat(Now + 1100ms, heartbeat("10.0.0.1:7", "a", true));
+  CHECK_FALSE(Second.shouldRead(Now + 1200ms, true));
+  CHECK(Second.shouldRead(Now + 3s, true));
+  // A reader of another failure domain does not count.
+  fleet::Roster Third = roster(Now, "10.0.0.3:7");
+  Third.onHeartbeat(Now + 400ms, heartbeat("10.0.0.1:7", "b", true));
+  CHECK(Third.shouldRead(Now + 500ms, true));
+}
+
+// Guards against an instance without the store that follows nobody.
+TEST_CASE("an instance copies the view of one that is ahead", "[fleet]") {
+  base::TimePoint Now{1h};
+  fleet::Roster Members = roster(Now, "10.0.0.2:7");
+  CHECK_FALSE(Members.findAhead(Now, 5, false));
+  Members.onHeartbeat(Now, heartbeat("10.1.0.1:7", "b", true, 9));
+  CHECK_FALSE(Members.findAhead(Now, 5, false));
+  CHECK(Members.findAhead(Now + 400ms, 5, false));
+  CHECK(Members.findAhead(Now + 400ms, 0, false));
+  Members.onHeartbeat(Now + 400ms, heartbeat("10.0.0.1:7", "a", true, 8));
+  auto Local = Members.findAhead(Now + 400ms, 5, false);
+  REQUIRE(Local);
+  CHECK(Local->Address == "10.0.0.1:7");
+  CHECK_FALSE(Members.findAhead(Now + 3s, 5, false));
+}
+
+// Guards against budgets and connections that are shared among too few.
+TEST_CASE("instances that were heard lately count", "[fleet]") {
+  base::TimePoint Now{1h};
+  fleet::Roster Members = roster(Now, "10.0.0.2:7");
+  Members.setSeeds({"10.0.0.2:7", "10.0.0.3:7", "10.0.0.4:7"});
+  CHECK(Members.instances(Now) == 3);
+  for (int I = 10; I < 15; ++I) {
+    Members.onHeartbeat(
+        Now, heartbeat("10.0.0." + std::to_string(I) + ":7", "a", true));
+  }
+  CHECK(Members.instances(Now + 5s) == 6);
+  fleet::Heartbeat Leaving = heartbeat("10.0.0.10:7", "a", true);
+  Leaving.Leaving = true;
+  Members.onHeartbeat(Now + 5s, Leaving);
+  CHECK(Members.instances(Now + 5s) == 5);
+  CHECK(Members.instances(Now + 60s) == 3);
+  auto Targets = Members.targets(Now + 5s);
+  CHECK(std::count(Targets.begin(), Targets.end(), "10.0.0.2:7") == 0);
+  CHECK(std::count(Targets.begin(), Targets.end(), "10.0.0.3:7") == 1);
+}
