Leave overloaded and unreachable shards out of a fan-out, and refuse at once

Now a shard whose best server is not expected to reply within 0.85 of the target is left out, unreachable ones first, as far as the route's smallest share allows; with too many unreachable ones the request is refused at once with the time at which they are tried again. A hedge goes only to a server with a free slot, and servers drop parts after two targets.

--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -21,7 +21,7 @@
 constexpr std::chrono::milliseconds PullConnectTimeout(300);
 /** A starting instance is heard, and hears the others, sooner. */
 constexpr base::Duration StartTime = std::chrono::milliseconds(1'000);
-constexpr base::Duration StartPeriod = std::chrono::milliseconds(100);
+constexpr base::Duration StartPeriod = std::chrono::milliseconds(50);
 
 } // namespace
 
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -151,6 +151,7 @@
   Count("answers", Decisions.Answers);
   Count("partial_answers", Decisions.PartialAnswers);
   Count("callers_gone", Decisions.CallersGone);
+  Count("shards_left_out", Decisions.ShardsLeftOut);
   Count("attempts", Decisions.Attempts);
   Count("hedges", Decisions.Hedges);
   Count("retries", Decisions.Retries);
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -22,7 +22,7 @@
 /** Addresses in one heartbeat. */
 constexpr size_t MaxAddresses = 6;
 /** Time to hear of instances before this one reads the store. */
-constexpr base::Duration ListenTime = std::chrono::milliseconds(300);
+constexpr base::Duration ListenTime = std::chrono::milliseconds(120);
 /** Time that the next instance in the order waits for the one before it. */
 constexpr base::Duration TakeOverDelay = std::chrono::milliseconds(400);
 /** Instances of a failure domain that may try to read at the same time. */
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -114,6 +114,9 @@
   if (this->refuseUnservable(Target, Out)) {
     return Id;
   }
+  if (this->leaveOutOverloaded(Now, Target, Out)) {
+    return Id;
+  }
   this->advance(Now, Target, Out);
   return Id;
 }
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -1,7 +1,9 @@
 #include "forward/engine_base.h"
 #include "forward/replica_func.h"
+#include "forward/route_table_func.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace hickorycrank::forward {
@@ -38,6 +40,16 @@
 /** Connections that are left for others, such as an instance just started. */
 constexpr double ConnectionReserve = 0.9;
 
+/** Share of a route's target within which an overloaded shard must be expected
+ * to reply to be asked. The rest covers the estimate's error; a shard that is
+ * asked in vain delays the requests of all others. */
+constexpr double OverloadShare = 0.85;
+/** Servers drop a fan-out's part that waits for longer than this many targets:
+ * by then the answer has usually left without it. */
+constexpr int PartTimeFactor = 2;
+/** Least time that a server is given for a part. */
+constexpr Duration MinPartTime = std::chrono::milliseconds(100);
+
 /** @return Whether so many parts broke that the request itself is suspect. */
 bool looksLikeCrash(const Call &Owner) {
   auto Broken =
@@ -91,6 +103,64 @@
              : this->maxOutstanding(this->Servers.pool(Target->Entry.Service));
 }
 
+bool Engine::leaveOutOverloaded(TimePoint Now, Call &Target, Actions &Out) {
+  if (!Target.Source->fansOut()) {
+    return false;
+  }
+  auto Limit = std::chrono::duration_cast<Duration>(Target.Source->Target *
+                                                    OverloadShare);
+  Duration Usual = this->usualLatency(*Target.Source);
+  std::vector<std::pair<Duration, Part *>> Late;
+  size_t Lost = 0; // Shards that no server can reply for now.
+  TimePoint Back = TimePoint::max();
+  for (Part &Entry : Target.Parts) {
+    if (!hasUsableReplica(*Entry.Pool)) {
+      ++Lost; // Its attempt fails at once.
+      continue;
+    }
+    if (auto Until = unreachableUntil(Now, *Entry.Pool)) {
+      ++Lost;
+      Back = std::min(Back, *Until);
+      Late.emplace_back(Duration::max(), &Entry);
+      continue;
+    }
+    Server *Best = this->choose(Now, Target, Entry, false);
+    Duration Expected =
+        Best == nullptr ? Limit : expectedTime(Now, *Best, Usual);
+    if (Expected > Limit) {
+      Late.emplace_back(Expected, &Entry);
+    }
+  }
+  size_t Spare = Target.Parts.size() - requiredShards(*Target.Source);
+  if (Lost > Spare) {
+    auto Wait = std::chrono::ceil<std::chrono::milliseconds>(Back - Now);
+    this->refuse(Target.Id, {RefusalReason::NoServer, false, Wait}, Out);
+    this->Calls.erase(Target.Id.Value);
+    return true;
+  }
+  Spare -= Lost - static_cast<size_t>(std::count_if(
+                      Late.begin(), Late.end(), [](const auto &Entry) {
+                        return Entry.first == Duration::max();
+                      }));
+  std::sort(Late.begin(), Late.end(), std::greater<>());
+  Late.resize(std::min(Late.size(), Spare));
+  for (auto &[Expected, Entry] : Late) {
+    Entry->Phase = PartPhase::Failed;
+    ++Target.Failed;
+    ++this->Counters.ShardsLeftOut;
+  }
+  return false;
+}
+
+Duration Engine::timeForServer(TimePoint Now, const Call &Owner) const {
+  Duration Left = Owner.Deadline - Now;
+  if (!Owner.Source->fansOut()) {
+    return Left;
+  }
+  TimePoint Useful = Owner.ArrivedAt + Owner.Source->Target * PartTimeFactor;
+  return Useful - Now >= MinPartTime ? std::min(Left, Useful - Now) : Left;
+}
+
 Server *Engine::choose(TimePoint Now, const Call &Owner, const Part &Target,
                        bool AvoidTried) {
   boost::container::small_vector<ServerKey, 4> Tried;
@@ -167,7 +237,8 @@
   To.Outstanding.push_back({Ref, Now, this->usualLatency(*Owner.Source)});
   ++this->Counters.Attempts;
   Out.push_back(SendAttempt{Ref, To.Key, To.Entry.Id, To.Entry.Address,
-                            Owner.Deadline - Now, Owner.Source->Idempotent});
+                            this->timeForServer(Now, Owner),
+                            Owner.Source->Idempotent});
 }
 
 void Engine::hedge(TimePoint Now, Call &Owner, uint32_t Index, Actions &Out) {
@@ -179,7 +250,8 @@
     return;
   }
   Server *To = this->choose(Now, Owner, Target, true);
-  if (To == nullptr || isStalled(Now, *To)) {
+  // A hedge that has to queue only adds to the load that made the first late.
+  if (To == nullptr || isStalled(Now, *To) || !hasFreeSlot(Now, *To)) {
     Target.WakeAt = Now + BusyPause;
     return;
   }
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -27,6 +27,7 @@
   uint64_t Answers = 0;
   uint64_t PartialAnswers = 0;
   uint64_t CallersGone = 0;
+  uint64_t ShardsLeftOut = 0; ///< Not asked because they were overloaded.
   uint64_t Attempts = 0;
   uint64_t Hedges = 0;
   uint64_t Retries = 0;
@@ -191,6 +192,8 @@
   void takeError(base::TimePoint Now, Call &Owner, const AttemptRef &Ref,
                  Reply &&Received, Actions &Out);
   uint32_t maxOutstanding(const ServicePool &Pool) const;
+  bool leaveOutOverloaded(base::TimePoint Now, Call &Target, Actions &Out);
+  base::Duration timeForServer(base::TimePoint Now, const Call &Owner) const;
 
   // Progress (engine_progress.cpp).
   void advance(base::TimePoint Now, Call &Target, Actions &Out);
--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -42,6 +42,9 @@
 constexpr Duration FirstEjection = std::chrono::milliseconds(400);
 constexpr uint32_t MaxEjectionDoublings = 3;
 constexpr double MinSuccess = 0.05;
+constexpr double MinSlowness = 0.3;
+/** Share of the wait for a slot that counts while slots are still free. */
+constexpr double EarlyWaitShare = 0.1;
 
 double fade(double Value, double Neutral, Duration Age) {
   double Weight = std::exp2(-toMilliseconds(Age) / ForgetHalfLifeMs);
@@ -61,29 +64,35 @@
   return Own + Others * Weight;
 }
 
-double expectedCost(const Server &Target, const ReplicaRequest &Wanted) {
-  Duration Age = Wanted.Now - Target.ObservedAt;
-  double ServiceMs = toMilliseconds(Wanted.Expected) *
-                     std::max(0.3, fade(Target.Slowness, 1, Age));
-  if (Wanted.Now < Target.ColdUntil) {
-    ServiceMs *= ColdFactor;
+double serviceMs(TimePoint Now, const Server &Target, Duration Usual) {
+  Duration Age = Now - Target.ObservedAt;
+  double Result = toMilliseconds(Usual) *
+                  std::max(MinSlowness, fade(Target.Slowness, 1, Age));
+  return Now < Target.ColdUntil ? Result * ColdFactor : Result;
+}
+
+double slots(const Server &Target) { return std::max(1U, Target.Entry.Slots); }
+
+double expectedMs(TimePoint Now, const Server &Target, Duration Usual) {
+  double Service = serviceMs(Now, Target, Usual);
+  double Queued = estimatedLoad(Now, Target) + 1 - slots(Target);
+  double Result = Service + Service * std::max(0.0, Queued) / slots(Target);
+  if (isStalled(Now, Target) || Now < Target.BusyUntil) {
+    Result += StallRestMs;
   }
-  double Slots = std::max(1U, Target.Entry.Slots);
-  double Ahead = estimatedLoad(Wanted.Now, Target);
-  double Cost = ServiceMs;
+  return Result;
+}
+
+double expectedCost(const Server &Target, const ReplicaRequest &Wanted) {
+  double Cost = expectedMs(Wanted.Now, Target, Wanted.Expected);
   // A part of the wait counts before the slots are full, because the requests
   // of other instances are known only in part.
-  Cost += ServiceMs * 0.1 * Ahead / Slots;
-  Cost += ServiceMs * std::max(0.0, Ahead + 1 - Slots) / Slots;
+  Cost += serviceMs(Wanted.Now, Target, Wanted.Expected) * EarlyWaitShare *
+          estimatedLoad(Wanted.Now, Target) / slots(Target);
   if (Target.Entry.Domain != Wanted.Domain) {
     Cost = Cost * OtherDomainFactor + OtherDomainMs;
   }
-  if (isStalled(Wanted.Now, Target)) {
-    Cost += StallRestMs;
-  }
-  if (Wanted.Now < Target.BusyUntil) {
-    Cost += StallRestMs;
-  }
+  Duration Age = Wanted.Now - Target.ObservedAt;
   double Success = std::max(MinSuccess, fade(Target.Success, 1, Age));
   return Cost / (Success * Success);
 }
@@ -138,6 +147,14 @@
 
 } // namespace
 
+Duration expectedTime(TimePoint Now, const Server &Target, Duration Usual) {
+  return base::fromMilliseconds(expectedMs(Now, Target, Usual));
+}
+
+bool hasFreeSlot(TimePoint Now, const Server &Target) {
+  return estimatedLoad(Now, Target) + 1 <= slots(Target);
+}
+
 bool isStalled(TimePoint Now, const Server &Target) {
   for (const OutstandingAttempt &Attempt : Target.Outstanding) {
     double Usual = toMilliseconds(Attempt.Expected) *
@@ -184,6 +201,21 @@
                      [](const Server *Entry) { return isUsable(*Entry); });
 }
 
+std::optional<TimePoint> unreachableUntil(TimePoint Now,
+                                          const ServicePool &Pool) {
+  std::optional<TimePoint> First;
+  for (const Server *Entry : Pool.Servers) {
+    if (!isUsable(*Entry)) {
+      continue;
+    }
+    if (!Entry->Unreachable || Entry->EjectedUntil <= Now) {
+      return std::nullopt;
+    }
+    First = First ? std::min(*First, Entry->EjectedUntil) : Entry->EjectedUntil;
+  }
+  return First;
+}
+
 void settleAttempt(TimePoint Now, Server &Target, const AttemptRef &Ref,
                    AttemptOutcome Outcome) {
   auto Found = std::find_if(
@@ -194,6 +226,9 @@
   }
   OutstandingAttempt Ended = *Found;
   Target.Outstanding.erase(Found);
+  if (Outcome != AttemptOutcome::Abandoned) {
+    Target.Unreachable = Outcome == AttemptOutcome::ConnectFailed;
+  }
   switch (Outcome) {
   case AttemptOutcome::Succeeded:
     observe(Now, Target, 1);
--- a/src/forward/replica_func.h
+++ b/src/forward/replica_func.h
@@ -4,6 +4,7 @@
 #include "base/random_base.h"
 #include "forward/server_set_base.h"
 
+#include <optional>
 #include <span>
 
 namespace hickorycrank::forward {
@@ -37,6 +38,24 @@
 Server *chooseReplica(const ServicePool &Pool, const ReplicaRequest &Wanted,
                       base::Random &Generator);
 
+/**
+ * Estimates the time to a reply from the server's load and speed.
+ * @param Now Current time.
+ * @param Target The server.
+ * @param Usual Usual latency of the route.
+ * @return The expected time.
+ */
+base::Duration expectedTime(base::TimePoint Now, const Server &Target,
+                            base::Duration Usual);
+
+/**
+ * Tells whether a new attempt would be run at once.
+ * @param Now Current time.
+ * @param Target The server.
+ * @return Whether a slot is free, as far as known.
+ */
+bool hasFreeSlot(base::TimePoint Now, const Server &Target);
+
 /**
  * Tells whether a service has a server that may be used, now or once an
  * attempt has ended.
@@ -45,6 +64,16 @@
  */
 bool hasUsableReplica(const ServicePool &Pool);
 
+/**
+ * Tells whether no server of a service accepts connections.
+ * @param Now Current time.
+ * @param Pool Servers of the service.
+ * @return When the first of them is to be tried again, or nothing if one may
+ *   be reached now.
+ */
+std::optional<base::TimePoint> unreachableUntil(base::TimePoint Now,
+                                                const ServicePool &Pool);
+
 /**
  * Tells whether a server has stopped replying, as during a pause.
  * @param Now Current time.
--- a/src/forward/server_type.h
+++ b/src/forward/server_type.h
@@ -62,6 +62,7 @@
   base::TimePoint ObservedAt; ///< Last change of Slowness or Success.
   uint32_t Failures = 0;      ///< In a row.
   base::TimePoint EjectedUntil;
+  bool Unreachable = false;  ///< The last attempt found no connection.
   base::TimePoint BusyUntil; ///< It shed load lately.
   std::optional<LoadReport> Load;
   base::TimePoint LoadAt;
--- a/tests/forward_engine_test.cpp
+++ b/tests/forward_engine_test.cpp
@@ -334,3 +334,119 @@
   REQUIRE(Final.size() == 1);
   CHECK(ForwardHarness::refusal(Final[0])->Reason == RefusalReason::Timeout);
 }
+
+// Pattern: one shard lost most of its servers and cannot keep up. Guards
+// against a queue there that makes every answer late.
+TEST_CASE("a shard that is overloaded is left out while the share allows it",
+          "[forward]") {
+  ForwardHarness Test = tenShards();
+  // Each of the shard's three servers reports a long queue.
+  for (int I = 0; I < 3; ++I) {
+    Test.ask("wide.example", "/wide/x");
+    Test.pass(10ms);
+    for (const auto &Sent : Test.take<forward::SendAttempt>()) {
+      forward::Reply Received = ForwardHarness::good("sig");
+      if (Sent.Ref.Part == 3) {
+        Received.Load = forward::LoadReport{3, 100, 3};
+      }
+      Test.reply(Sent, Received);
+    }
+  }
+  Test.take<forward::RespondCall>();
+  Test.take<forward::SendAttempt>();
+  Test.ask("wide.example", "/wide/x");
+  auto Sent = Test.take<forward::SendAttempt>();
+  CHECK(Sent.size() == 9);
+  for (const auto &Entry : Sent) {
+    CHECK(Entry.Ref.Part != 3);
+    Test.reply(Entry, ForwardHarness::good("sig"));
+  }
+  auto Final = Test.take<forward::RespondCall>();
+  REQUIRE(Final.size() == 1);
+  REQUIRE(ForwardHarness::merged(Final[0]) != nullptr);
+  CHECK(ForwardHarness::merged(Final[0])->Missing == 1);
+  // The estimate fades, so that the shard is asked again.
+  Test.pass(1s);
+  Test.ask("wide.example", "/wide/x");
+  CHECK(Test.take<forward::SendAttempt>().size() == 10);
+}
+
+// Pattern: all shards are slow. Guards against hedges that add to the load
+// which made the first attempts late.
+TEST_CASE("a hedge is not sent to a server without a free slot", "[forward]") {
+  ForwardHarness Test = tenShards();
+  Test.ask("wide.example", "/wide/x");
+  for (const auto &Sent : Test.take<forward::SendAttempt>()) {
+    forward::Reply Busy = ForwardHarness::good("sig");
+    Busy.Load = forward::LoadReport{3, 2, 3};
+    Test.reply(Sent, Busy);
+  }
+  for (int I = 0; I < 30; ++I) {
+    Test.ask("wide.example", "/wide/x");
+  }
+  CHECK(Test.take<forward::SendAttempt>().size() > 200);
+  Test.pass(60ms);
+  CHECK(Test.Engine.counters().Hedges == 0);
+}
+
+// Pattern: all servers of one shard are down while others are slow. Guards
+// against using up the missing shards that an answer may have on a shard that
+// would reply.
+TEST_CASE("an unreachable shard is left out before an overloaded one",
+          "[forward]") {
+  ForwardHarness Test = tenShards();
+  for (int I = 0; I < 3; ++I) {
+    Test.ask("wide.example", "/wide/x");
+    for (int Round = 0; Round < 4; ++Round) {
+      for (const auto &Sent : Test.take<forward::SendAttempt>()) {
+        if (Sent.Ref.Part == 5) {
+          Test.fail(Sent, AttemptFailure::NotSent);
+          continue;
+        }
+        forward::Reply Received = ForwardHarness::good("sig");
+        if (Sent.Ref.Part == 3) {
+          Received.Load = forward::LoadReport{3, 100, 3};
+        }
+        Test.reply(Sent, Received);
+      }
+    }
+  }
+  Test.take<forward::RespondCall>();
+  Test.ask("wide.example", "/wide/x");
+  auto Sent = Test.take<forward::SendAttempt>();
+  CHECK(Sent.size() == 9);
+  for (const auto &Entry : Sent) {
+    CHECK(Entry.Ref.Part != 5);
+  }
+}
+
+// Pattern: two shards of ten are down and only one may be missing. Guards
+// against work on the other shards, and a wait, for an answer that cannot be
+// given; after a while the servers are tried again.
+TEST_CASE("a fan-out with too many unreachable shards is refused at once",
+          "[forward]") {
+  ForwardHarness Test = tenShards();
+  for (int I = 0; I < 3; ++I) {
+    Test.ask("wide.example", "/wide/x");
+    for (int Round = 0; Round < 4; ++Round) {
+      for (const auto &Sent : Test.take<forward::SendAttempt>()) {
+        if (Sent.Ref.Part < 2) {
+          Test.fail(Sent, AttemptFailure::NotSent);
+        }
+      }
+    }
+  }
+  Test.take<forward::RespondCall>();
+  Test.ask("wide.example", "/wide/x");
+  CHECK(Test.take<forward::SendAttempt>().empty());
+  auto Final = Test.take<forward::RespondCall>();
+  REQUIRE(Final.size() == 1);
+  REQUIRE(ForwardHarness::refusal(Final[0]) != nullptr);
+  CHECK(ForwardHarness::refusal(Final[0])->Reason == RefusalReason::NoServer);
+  CHECK_FALSE(ForwardHarness::refusal(Final[0])->MayHaveRun);
+  REQUIRE(ForwardHarness::refusal(Final[0])->RetryAfter);
+  Test.pass(*ForwardHarness::refusal(Final[0])->RetryAfter + 1ms);
+  Test.take<forward::SendAttempt>(); // Hedges of the calls before.
+  Test.ask("wide.example", "/wide/x");
+  CHECK(Test.take<forward::SendAttempt>().size() >= 9);
+}
