--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -237,6 +237,7 @@
     Target.EjectedUntil = TimePoint();
     break;
   case AttemptOutcome::Shed:
+    observe(Now, Target, 0);
     Target.BusyUntil = Now + BusyTime;
     Target.EjectedUntil = TimePoint();
     break;
--- a/tests/forward_rules_test.cpp
+++ b/tests/forward_rules_test.cpp
@@ -205,3 +205,40 @@
                          forward::AttemptOutcome::Succeeded);
   CHECK_FALSE(forward::isStalled(Wanted.Now, *Local));
 }
+
+// Pattern: servers refuse a part of their requests although they are idle.
+// Guards against choosing them again and again because they reply fast.
+TEST_CASE("a server that refuses requests is avoided", "[forward]") {
+  forward::ServerSet Servers;
+  base::TimePoint Now{1h};
+  std::vector<forward::ServerEntry> Entries(2);
+  for (size_t I = 0; I < Entries.size(); ++I) {
+    Entries[I].Id = base::ServerId("i-" + std::to_string(I));
+    Entries[I].Service = "one";
+    Entries[I].Address = "127.0.0.1:" + std::to_string(I + 1);
+    Entries[I].Domain = base::FailureDomainId("a");
+    Entries[I].Slots = 3;
+  }
+  Servers.apply(Now, Entries);
+  forward::ServicePool &Pool = Servers.pool("one");
+  base::Random Generator(1);
+  forward::ReplicaRequest Wanted;
+  Wanted.Expected = 20ms;
+  Wanted.Domain = base::FailureDomainId("a");
+  Wanted.MaxOutstanding = 6;
+  int Refusals = 0;
+  for (uint64_t Call = 0; Call < 200; ++Call) {
+    Wanted.Now = Now;
+    forward::Server *Chosen = forward::chooseReplica(Pool, Wanted, Generator);
+    REQUIRE(Chosen != nullptr);
+    Chosen->Outstanding.push_back({{Call, 0, 0}, Now, 20ms});
+    bool Refuses = Chosen->Entry.Id.Value == "i-0" && Call % 5 < 2;
+    Now += Refuses ? 1ms : 20ms;
+    Refusals += Refuses ? 1 : 0;
+    forward::settleAttempt(Now, *Chosen, {Call, 0, 0},
+                           Refuses ? forward::AttemptOutcome::Shed
+                                   : forward::AttemptOutcome::Succeeded);
+    Now += 40ms;
+  }
+  CHECK(Refusals < 10);
+}
