Probe unreachable servers by connections; leave the rotation while cut off

Cause: while a failure domain is cut off, its servers were tried with requests, each of which waited for a connection that never opens: with 36 shards most fan-outs held at least one such trial. And instances on the small side of a partition refused what instances elsewhere can serve.

Now a server whose connection failed gets no request before a connection without one has opened, and an instance that hears no other failure domain and reaches too few shards is not ready and ends its callers' connections.

--- a/src/daemon/fleet_node_base.h
+++ b/src/daemon/fleet_node_base.h
@@ -84,6 +84,12 @@
     return this->Members.shouldRead(Now, HasView);
   }
 
+  /** @param Now Current time. @return Whether the instances of all other
+   * failure domains have fallen silent. */
+  bool isCutOff(base::TimePoint Now) const {
+    return this->Members.isCutOff(Now);
+  }
+
   /** @param Now Current time. @return Instances including this one. */
   size_t instances(base::TimePoint Now) const {
     return this->Members.instances(Now);
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -64,6 +64,9 @@
            },
            [this](const forward::AttemptRef &Ref, forward::ServerKey Server) {
              this->Engine.onAbandonedEnd(suspendAwareNow(), Ref, Server);
+           },
+           [this](forward::ServerKey Server, bool Reached) {
+             this->Engine.onProbed(suspendAwareNow(), Server, Reached);
            }}),
       Callers(Context, this->Own.Callers,
               {[this](net::ForwardToken Token, net::ForwardRequest &&Request) {
@@ -129,6 +132,10 @@
       FleetNode::TickPeriod, [this](const base::Tick &Event) {
         this->Fleet->tick(Event.Now);
         this->chooseReader(Event.Now);
+        this->updateIsolation(Event.Now);
+        forward::Actions Decided;
+        this->Engine.probeServers(suspendAwareNow(), Decided);
+        this->carryOut(std::move(Decided));
         this->Engine.onInstances(this->Fleet->instances(Event.Now));
       });
   this->Timers.subscribe(TickPeriod, [this](const base::Tick &Event) {
@@ -159,7 +166,21 @@
 }
 
 bool Gateway::isReady() const {
-  return !this->Stopping && this->Engine.routes() && this->ServersKnown;
+  return !this->Stopping && !this->Isolated && this->Engine.routes() &&
+         this->ServersKnown;
+}
+
+void Gateway::updateIsolation(TimePoint Now) {
+  bool Before = this->Isolated;
+  this->Isolated = this->Fleet->isCutOff(Now) &&
+                   !this->Engine.canReachShards(suspendAwareNow());
+  if (this->Isolated == Before) {
+    return;
+  }
+  // Callers that reconnect reach an instance of another failure domain.
+  this->Callers.setClosing(this->Isolated || this->Stopping);
+  logEvent(LogLevel::Warning,
+           this->Isolated ? "gateway.isolated" : "gateway.reconnected", {});
 }
 
 void Gateway::onRequest(net::ForwardToken Token,
@@ -212,6 +233,8 @@
       this->Upstream.abandon(Drop->Ref, Drop->Server);
     } else if (auto *Answer = std::get_if<forward::RespondCall>(&Entry)) {
       this->respond(*Answer);
+    } else if (auto *Probe = std::get_if<forward::ProbeConnection>(&Entry)) {
+      this->Upstream.probe(Probe->Server, Probe->Address);
     } else if (auto *Gone = std::get_if<forward::ForgetServer>(&Entry)) {
       this->Upstream.retire(Gone->Server);
     }
@@ -290,7 +313,7 @@
   this->Stopping = true;
   this->OnStopped = std::move(Done);
   this->StopAt = Clock::now() + this->Own.Grace - ExitMargin;
-  this->Callers.announceClose();
+  this->Callers.setClosing(true);
 }
 
 void Gateway::finishStop() {
--- a/src/daemon/gateway_base.h
+++ b/src/daemon/gateway_base.h
@@ -94,6 +94,7 @@
   void startTimers();
   void scheduleTick();
   void finishStop();
+  void updateIsolation(base::TimePoint Now);
 
   // View of the platform (gateway_view.cpp).
   void onUpdate(const discovery::Update &Newer, bool Reliable);
@@ -125,6 +126,8 @@
   std::map<std::string, DecodedServer> DecodedServers;
   uint64_t ConfigurationRevision = 0;
   bool ServersKnown = false;
+  /** Cut off from other failure domains and unable to serve all routes. */
+  bool Isolated = false;
   metrics::Registry Metrics;
   LogLimit Limit;
   bool Stopping = false;
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -162,6 +162,7 @@
   Count("attempts_server_error", Decisions.ServerErrors);
   Count("attempts_not_sent", Decisions.NotSent);
   Count("attempts_broken", Decisions.Broken);
+  Count("connection_probes", Decisions.Probes);
   Count("late_replies", Decisions.LateReplies);
   for (size_t I = 0; I < forward::RefusalReasonCount; ++I) {
     Count("refusals", Decisions.Refusals[I],
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -165,6 +165,20 @@
          Now - this->UnreadSince >= TakeOverDelay * Before;
 }
 
+bool Roster::isCutOff(base::TimePoint Now) const {
+  bool KnowsForeign = false;
+  for (const auto &[Address, Known] : this->Peers) {
+    if (Known.Last.Domain == this->Domain) {
+      continue;
+    }
+    if (Now - Known.HeardAt <= LiveTime) {
+      return false;
+    }
+    KnowsForeign = true;
+  }
+  return KnowsForeign;
+}
+
 std::vector<std::string> Roster::addresses() {
   std::vector<std::string> Known;
   for (const auto &[Address, Entry] : this->Peers) {
--- a/src/fleet/roster_base.h
+++ b/src/fleet/roster_base.h
@@ -80,6 +80,14 @@
    */
   bool shouldRead(base::TimePoint Now, bool HasView);
 
+  /**
+   * Tells whether this failure domain seems cut off from the others.
+   * @param Now Current time.
+   * @return Whether instances of other failure domains were heard before and
+   *   none is heard any more.
+   */
+  bool isCutOff(base::TimePoint Now) const;
+
   /** @return Some known addresses, for a heartbeat. */
   std::vector<std::string> addresses();
 
--- a/src/forward/action_type.h
+++ b/src/forward/action_type.h
@@ -35,8 +35,14 @@
   ServerKey Server;
 };
 
-using Action =
-    std::variant<SendAttempt, AbandonAttempt, RespondCall, ForgetServer>;
+/** Open a connection to a server, to learn whether it can be reached. */
+struct ProbeConnection {
+  ServerKey Server;
+  std::string Address; ///< "IP:port".
+};
+
+using Action = std::variant<SendAttempt, AbandonAttempt, RespondCall,
+                            ForgetServer, ProbeConnection>;
 using Actions = std::vector<Action>;
 
 } // namespace hickorycrank::forward
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -190,6 +190,43 @@
   this->Crashes.expire(Now);
 }
 
+void Engine::probeServers(TimePoint Now, Actions &Out) {
+  for (const auto &[Id, Target] : this->Servers.all()) {
+    bool Due = Target->Unreachable && !Target->Probing &&
+               Target->EjectedUntil <= Now && !Target->Entry.Leaving;
+    if (!Due) {
+      continue;
+    }
+    Target->Probing = true;
+    ++this->Counters.Probes;
+    Out.push_back(ProbeConnection{Target->Key, Target->Entry.Address});
+  }
+}
+
+void Engine::onProbed(TimePoint Now, ServerKey Probed, bool Reached) {
+  if (Server *Target = this->Servers.find(Probed)) {
+    settleProbe(Now, *Target, Reached);
+  }
+}
+
+bool Engine::canReachShards(TimePoint Now) {
+  if (!this->Table) {
+    return false;
+  }
+  for (const Route &Source : this->Table->Routes) {
+    size_t Reachable = 0;
+    for (const std::string &Shard : Source.Shards) {
+      const ServicePool &Pool = this->Servers.pool(Shard);
+      Reachable +=
+          hasUsableReplica(Pool) && !unreachableUntil(Now, Pool) ? 1 : 0;
+    }
+    if (Source.fansOut() && Reachable < requiredShards(Source)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 TimePoint Engine::nextWake() const {
   return this->Wakes.empty() ? TimePoint::max() : this->Wakes.top().When;
 }
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -38,6 +38,7 @@
   uint64_t ServerErrors = 0;
   uint64_t NotSent = 0;
   uint64_t Broken = 0;
+  uint64_t Probes = 0;
   uint64_t LateReplies = 0; ///< Of abandoned attempts.
   std::array<uint64_t, RefusalReasonCount> Refusals{};
 };
@@ -144,6 +145,28 @@
    */
   void onTick(base::TimePoint Now, Actions &Out);
 
+  /**
+   * Probes servers that could not be reached, when they are due.
+   * @param Now Current time.
+   * @param Out Receives actions.
+   */
+  void probeServers(base::TimePoint Now, Actions &Out);
+
+  /**
+   * Takes the result of a probe.
+   * @param Now Current time.
+   * @param Target The server.
+   * @param Reached Whether a connection was opened.
+   */
+  void onProbed(base::TimePoint Now, ServerKey Target, bool Reached);
+
+  /**
+   * Tells whether enough shards can be reached for every route that fans out.
+   * @param Now Current time.
+   * @return Whether the routes in force can be served.
+   */
+  bool canReachShards(base::TimePoint Now);
+
   /** @return Time of the next onTick() that has something to do. */
   base::TimePoint nextWake() const;
   /** @return Connections that this instance may hold to one server. */
--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -41,6 +41,8 @@
 constexpr uint32_t EjectAfter = 3;
 constexpr Duration FirstEjection = std::chrono::milliseconds(400);
 constexpr uint32_t MaxEjectionDoublings = 3;
+/** Usual time for a probe to open a connection. */
+constexpr Duration ProbeTime = std::chrono::milliseconds(50);
 constexpr double MinSuccess = 0.05;
 constexpr double MinSlowness = 0.3;
 /** Share of the wait for a slot that counts while slots are still free. */
@@ -114,6 +116,9 @@
 }
 
 bool isHealthy(const Server &Target, const ReplicaRequest &Wanted) {
+  if (Target.Unreachable) {
+    return false;
+  }
   if (!onProbation(Target)) {
     return true;
   }
@@ -208,10 +213,11 @@
     if (!isUsable(*Entry)) {
       continue;
     }
-    if (!Entry->Unreachable || Entry->EjectedUntil <= Now) {
+    if (!Entry->Unreachable) {
       return std::nullopt;
     }
-    First = First ? std::min(*First, Entry->EjectedUntil) : Entry->EjectedUntil;
+    TimePoint Until = std::max(Entry->EjectedUntil, Now + ProbeTime);
+    First = First ? std::min(*First, Until) : Until;
   }
   return First;
 }
@@ -259,6 +265,21 @@
   Target.ObservedAt = Now;
 }
 
+void settleProbe(TimePoint Now, Server &Target, bool Reached) {
+  Target.Probing = false;
+  if (!Target.Unreachable) {
+    return;
+  }
+  if (Reached) {
+    Target.Unreachable = false;
+    Target.Failures = 0;
+    Target.EjectedUntil = TimePoint();
+    return;
+  }
+  ++Target.Failures;
+  eject(Now, Target);
+}
+
 void recordLoad(TimePoint Now, Server &Target, const LoadReport &Report) {
   Target.Load = Report;
   Target.LoadAt = Now;
--- a/src/forward/replica_func.h
+++ b/src/forward/replica_func.h
@@ -68,8 +68,8 @@
  * Tells whether no server of a service accepts connections.
  * @param Now Current time.
  * @param Pool Servers of the service.
- * @return When the first of them is to be tried again, or nothing if one may
- *   be reached now.
+ * @return When the first of them is to be probed again, or nothing if one may
+ *   be reached.
  */
 std::optional<base::TimePoint> unreachableUntil(base::TimePoint Now,
                                                 const ServicePool &Pool);
@@ -92,6 +92,14 @@
 void settleAttempt(base::TimePoint Now, Server &Target, const AttemptRef &Ref,
                    AttemptOutcome Outcome);
 
+/**
+ * Records the result of a probe.
+ * @param Now Current time.
+ * @param Target The server.
+ * @param Reached Whether a connection was opened.
+ */
+void settleProbe(base::TimePoint Now, Server &Target, bool Reached);
+
 /**
  * Records a load report.
  * @param Now Current time.
--- a/src/forward/server_set_base.h
+++ b/src/forward/server_set_base.h
@@ -49,6 +49,9 @@
    */
   Server *find(ServerKey Key);
 
+  /** @return All listed servers, by id. */
+  const std::map<std::string, Server *> &all() const { return this->ById; }
+
   /** @return Number of listed servers. */
   size_t size() const { return this->ById.size(); }
 
--- a/src/forward/server_type.h
+++ b/src/forward/server_type.h
@@ -62,7 +62,10 @@
   base::TimePoint ObservedAt; ///< Last change of Slowness or Success.
   uint32_t Failures = 0;      ///< In a row.
   base::TimePoint EjectedUntil;
-  bool Unreachable = false;  ///< The last attempt found no connection.
+  /** The last connection failed; no request tests it before a probe opens one.
+   */
+  bool Unreachable = false;
+  bool Probing = false;      ///< A probe is under way.
   base::TimePoint BusyUntil; ///< It shed load lately.
   std::optional<LoadReport> Load;
   base::TimePoint LoadAt;
--- a/src/net/forward_server.cpp
+++ b/src/net/forward_server.cpp
@@ -59,7 +59,9 @@
   }
 }
 
-void ForwardServer::announceClose() { this->Shared->Closing = true; }
+void ForwardServer::setClosing(bool Closing) {
+  this->Shared->Closing = Closing || this->Shared->Stopped;
+}
 
 void ForwardServer::stopAccepting() {
   this->Shared->Closing = true;
--- a/src/net/forward_server_base.h
+++ b/src/net/forward_server_base.h
@@ -73,8 +73,11 @@
    */
   void respond(ForwardToken Token, ForwardResponse &&Response);
 
-  /** Makes every response from now on the last one of its connection. */
-  void announceClose();
+  /**
+   * Sets whether each response is the last one of its connection.
+   * @param Closing Whether callers shall reconnect, and so may reach others.
+   */
+  void setClosing(bool Closing);
 
   /** Stops accepting and closes idle connections. */
   void stopAccepting();
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -39,12 +39,13 @@
       KeepAlive(DefaultKeepAlive) {}
 
 bool UpstreamConnection::open(const std::string &Address,
-                              UpstreamAttempt First) {
+                              std::optional<UpstreamAttempt> First) {
   auto Where = config::parseEndpoint(Address);
   if (!Where) {
     return false;
   }
   this->Current = std::move(First);
+  this->Probe = !this->Current;
   tcp::endpoint Target(asio::ip::make_address(Where->Address), Where->Port);
   beast::error_code Ignored; // A socket that cannot be opened fails below.
   this->Socket.open(Target.protocol(), Ignored);
@@ -67,11 +68,14 @@
     return;
   }
   this->read();
-  if (!this->Current) {
-    this->becomeIdle();
+  if (this->Current) {
+    this->write();
     return;
   }
-  this->write();
+  this->becomeIdle();
+  if (std::exchange(this->Probe, false)) {
+    this->Owner.Handlers.OnProbed(this->Server, true);
+  }
 }
 
 void UpstreamConnection::send(UpstreamAttempt Next) {
@@ -268,6 +272,9 @@
   std::optional<UpstreamAttempt> Failed = std::exchange(this->Current, {});
   bool WasAbandoned = this->Abandoned;
   this->close();
+  if (std::exchange(this->Probe, false)) {
+    this->Owner.Handlers.OnProbed(this->Server, false);
+  }
   if (!Failed) {
     return;
   }
--- a/src/net/upstream_connection_base.h
+++ b/src/net/upstream_connection_base.h
@@ -39,10 +39,11 @@
   /**
    * Connects, then sends.
    * @param Address "IP:port" of the server.
-   * @param First The attempt to send once connected.
+   * @param First The attempt to send once connected; without one this is a
+   *   probe.
    * @return Whether the address is valid.
    */
-  bool open(const std::string &Address, UpstreamAttempt First);
+  bool open(const std::string &Address, std::optional<UpstreamAttempt> First);
 
   /** Sends on an idle connection. @param Next The attempt. */
   void send(UpstreamAttempt Next);
@@ -96,6 +97,7 @@
   UpstreamPhase Phase = UpstreamPhase::Connecting;
   base::TimePoint PhaseSince;
   base::TimePoint AbandonedAt;
+  bool Probe = false; ///< The owner is told whether it opens.
   bool Abandoned = false;
   bool WritePending = false;
   bool SawForeign = false;  ///< A reply to another attempt was dropped.
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -80,6 +80,18 @@
   }
 }
 
+void UpstreamPool::probe(forward::ServerKey Server,
+                         const std::string &Address) {
+  auto Opened =
+      std::make_shared<UpstreamConnection>(this->Context, *this, Server);
+  this->Open[Server].push_back(Opened);
+  ++this->Counters.Opened;
+  if (!Opened->open(Address, std::nullopt)) {
+    Opened->close();
+    this->Handlers.OnProbed(Server, false);
+  }
+}
+
 void UpstreamPool::abandon(const forward::AttemptRef &Ref,
                            forward::ServerKey Server) {
   auto Found = this->Open.find(Server);
--- a/src/net/upstream_pool_base.h
+++ b/src/net/upstream_pool_base.h
@@ -32,6 +32,13 @@
    * @param Next The attempt. */
   void send(UpstreamAttempt Next);
 
+  /**
+   * Opens a connection to learn whether the server can be reached.
+   * @param Server The server.
+   * @param Address "IP:port" of the server.
+   */
+  void probe(forward::ServerKey Server, const std::string &Address);
+
   /**
    * Drops an attempt. Its reply is read for a while, which keeps the
    * connection and tells when the server works again.
--- a/src/net/upstream_type.h
+++ b/src/net/upstream_type.h
@@ -49,6 +49,8 @@
   /** An abandoned attempt ended without a reply, or was never sent. */
   std::function<void(const forward::AttemptRef &, forward::ServerKey)>
       OnAbandonedEnd;
+  /** A probe has opened a connection, or failed to. */
+  std::function<void(forward::ServerKey, bool Reached)> OnProbed;
 };
 
 /** What the connections count. */
--- a/tests/forward_engine_test.cpp
+++ b/tests/forward_engine_test.cpp
@@ -450,3 +450,58 @@
   Test.ask("wide.example", "/wide/x");
   CHECK(Test.take<forward::SendAttempt>().size() >= 9);
 }
+
+// Pattern: a failure domain is cut off, and a third of the servers cannot be
+// reached. Guards against requests that wait for connections which never open.
+TEST_CASE("a server that cannot be reached is probed without a request",
+          "[forward]") {
+  ForwardHarness Test = singleService(true);
+  Test.ask("one.example", "/one/x", 4s);
+  auto Sent = Test.take<forward::SendAttempt>();
+  REQUIRE(Sent.size() == 1);
+  Test.fail(Sent[0], AttemptFailure::NotSent);
+  forward::ServerKey Lost = Sent[0].Server;
+  Test.take<forward::SendAttempt>();
+  int Probes = 0;
+  for (int I = 0; I < 100; ++I) {
+    Test.pass(50ms);
+    Test.ask("one.example", "/one/x", 4s);
+    for (const auto &More : Test.take<forward::SendAttempt>()) {
+      CHECK(More.Server != Lost);
+      Test.reply(More, ForwardHarness::good("sig"));
+    }
+    Test.Engine.probeServers(Test.Now, Test.Out);
+    for (const auto &Probe : Test.take<forward::ProbeConnection>()) {
+      CHECK(Probe.Server == Lost);
+      ++Probes;
+      Test.Engine.onProbed(Test.Now, Lost, false);
+    }
+  }
+  CHECK(Probes >= 3);
+  CHECK(Probes <= 8);
+  Test.Engine.onProbed(Test.Now, Lost, true);
+  Test.Engine.probeServers(Test.Now, Test.Out);
+  CHECK(Test.take<forward::ProbeConnection>().empty());
+  Test.ask("one.example", "/one/x", 4s);
+  auto Back = Test.take<forward::SendAttempt>();
+  REQUIRE(Back.size() == 1);
+  CHECK(Back[0].Server == Lost);
+}
+
+// Guards against an instance that stays in rotation while it is cut off from
+// the shards that its routes need.
+TEST_CASE("an instance knows whether it reaches enough shards", "[forward]") {
+  ForwardHarness Test = tenShards();
+  CHECK(Test.Engine.canReachShards(Test.Now));
+  for (int I = 0; I < 3; ++I) {
+    Test.ask("wide.example", "/wide/x");
+    for (int Round = 0; Round < 4; ++Round) {
+      for (const auto &Sent : Test.take<forward::SendAttempt>()) {
+        if (Sent.Ref.Part < 2) {
+          Test.fail(Sent, AttemptFailure::NotSent);
+        }
+      }
+    }
+  }
+  CHECK_FALSE(Test.Engine.canReachShards(Test.Now));
+}
--- a/tests/view_test.cpp
+++ b/tests/view_test.cpp
@@ -190,3 +190,18 @@
   CHECK(std::count(Targets.begin(), Targets.end(), "10.0.0.2:7") == 0);
   CHECK(std::count(Targets.begin(), Targets.end(), "10.0.0.3:7") == 1);
 }
+
+// Guards against an instance that takes an outage of all servers for a
+// partition, and against one that does not notice a partition.
+TEST_CASE("silence of all other failure domains is a partition", "[fleet]") {
+  base::TimePoint Now{1h};
+  fleet::Roster Members = roster(Now, "10.0.0.2:7");
+  CHECK_FALSE(Members.isCutOff(Now));
+  Members.onHeartbeat(Now, heartbeat("10.0.0.1:7", "a", true));
+  CHECK_FALSE(Members.isCutOff(Now + 5s));
+  Members.onHeartbeat(Now, heartbeat("10.1.0.1:7", "b", true));
+  CHECK_FALSE(Members.isCutOff(Now + 1s));
+  CHECK(Members.isCutOff(Now + 2s));
+  Members.onHeartbeat(Now + 2s, heartbeat("10.2.0.1:7", "c", true));
+  CHECK_FALSE(Members.isCutOff(Now + 2s));
+}
