--- a/tests/forward_engine_test.cpp
+++ b/tests/forward_engine_test.cpp
@@ -447,6 +447,10 @@
   REQUIRE(ForwardHarness::refusal(Final[0])->RetryAfter);
   Test.pass(*ForwardHarness::refusal(Final[0])->RetryAfter + 1ms);
   Test.take<forward::SendAttempt>(); // Hedges of the calls before.
+  Test.Engine.probeServers(Test.Now, Test.Out);
+  for (const auto &Probe : Test.take<forward::ProbeConnection>()) {
+    Test.Engine.onProbed(Test.Now, Probe.Server, true);
+  }
   Test.ask("wide.example", "/wide/x");
   CHECK(Test.take<forward::SendAttempt>().size() >= 9);
 }
