Soak real gateways under seeded faults; ignore SIGHUP while starting

soak/ runs three gateways as processes against stand-ins of the store and the backend servers, behind loopback proxies that refuse, silence, slow or cut one way, with SIGTERM, SIGKILL, SIGSTOP and SIGHUP, servers that fail or leave, re-partitions and store outages in overlapping series. It checks at most once, true refusals, whole and unmixed answers, one configuration an answer, draining, graceful stops, the time to an answer, and service after the faults.

SIGHUP ended a process that was starting, since its handler was not set yet. The soak itself sends SIGHUP no sooner than 0.1 s after a start, when the program is loaded.

--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,440 @@
+#!/usr/bin/env python3
+"""Runs real gateways against stand-ins while faults are injected from outside,
+and checks what callers and backend servers see. Exit code 1: a promise broke.
+"""
+import argparse
+import asyncio
+import collections
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+
+from stand_ins import (ATTEMPT, BackendServer, Proxy, RECORD_BYTES, SIGNATURE,
+                       Store, records_of)
+
+DOMAINS = ["a", "b", "c"]
+FRONT, READY, CONTROL, HEARTBEAT = 18080, 18081, 18082, 18083
+TOP_K = 5
+TIMEOUT_S = 1.5
+DRAIN_S = 3.0    # A leaving server gets no new work after this time.
+STABLE_S = 4.0   # Without impairment of the store or an instance.
+CUT_SLACK_S = 0.5
+
+
+class Ledger:
+    """What backend servers ran, and the promises that it breaks."""
+
+    def __init__(self):
+        self.runs = collections.defaultdict(list)
+        self.violations = []
+        self.sent = {}
+        self.calm_since = time.monotonic()
+
+    def sign(self, service, server, attempt):
+        return f"{service}.{server}.{attempt}"
+
+    def ran(self, server, attempt, target, body, headers):
+        now = time.monotonic()
+        self.runs[attempt].append((server.service, server.name))
+        known = self.sent.get(attempt)
+        if known is None or known[:2] != (target, body):
+            self.fail(f"{server.name} ran {attempt} that nobody sent so")
+        left = server.leaving_since
+        calm = now - self.calm_since > STABLE_S
+        if left and now - left > DRAIN_S and calm:
+            self.fail(f"{server.name} got work {now - left:.1f} s after it "
+                      "reported that it leaves")
+
+    def fail(self, text):
+        self.violations.append(text)
+        print("VIOLATION", text, flush=True)
+
+
+class Gateway:
+    """One real process with its settings."""
+
+    def __init__(self, options, index, folder, store_port, log):
+        self.program, self.log = options.program, log
+        # Runs with different seeds may go side by side.
+        network = f"127.{20 + options.seed % 200}.7"
+        self.ip = f"{network}.{index + 1}"
+        self.settings = os.path.join(folder, f"settings-{index}.toml")
+        seeds = ", ".join(f'"{network}.{i + 1}:{CONTROL}"' for i in range(3))
+        with open(self.settings, "w") as out:
+            out.write(f"""node = "g{index}"
+zone = "{DOMAINS[index % 3]}"
+ip-address = "{self.ip}"
+internal-port-range = [{HEARTBEAT}, {HEARTBEAT}]
+seeds = [{seeds}]
+[listen-addresses]
+front = "{self.ip}:{FRONT}"
+readiness-address = "{self.ip}:{READY}"
+control = "{self.ip}:{CONTROL}"
+[bounds]
+grace-period-s = 6
+retry-budget-ratio = 0.2
+budget-window-s = 10
+retry-budget-slack = 54
+[platform]
+address = "127.0.0.1:{store_port}"
+""")
+        self.process = None
+        self.stopping = False
+        self.harmed_at = 0.0  # Last fault that no planned stop explains.
+
+    async def start(self):
+        self.process = await asyncio.create_subprocess_exec(
+            self.program, "gateway", "--settings", self.settings,
+            stdout=self.log, stderr=self.log)
+        self.stopping = False
+        self.started_at = time.monotonic()
+
+    def signal(self, number):
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    def reload(self):
+        """Sends SIGHUP, which ends a process whose program is not loaded yet;
+        the platform restarts such a process, the soak leaves it alone."""
+        if time.monotonic() - self.started_at > 0.1:
+            self.signal(signal.SIGHUP)
+
+    async def ready(self):
+        status = await ask(self.ip, READY, "GET", "/readiness", {}, b"", 1.0)
+        return status is not None and status[0] == 200
+
+
+async def ask(ip, port, method, target, headers, body, timeout):
+    """Sends one request on a new connection: (status, headers, body) or None."""
+    async def exchange():
+        reader, writer = await asyncio.open_connection(ip, port)
+        try:
+            head = f"{method} {target} HTTP/1.1\r\n"
+            if body:
+                headers["Content-Length"] = str(len(body))
+            head += "".join(f"{k}: {v}\r\n" for k, v in headers.items())
+            writer.write(head.encode() + b"\r\n" + body)
+            answer = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            lines = answer.split("\r\n")
+            fields = {}
+            for line in lines[1:]:
+                if ":" in line:
+                    name, value = line.split(":", 1)
+                    fields[name.lower()] = value.strip()
+            content = await reader.readexactly(
+                int(fields.get("content-length", "0")))
+            return int(lines[0].split(" ")[1]), fields, content
+        finally:
+            writer.transport.abort()
+    try:
+        return await asyncio.wait_for(exchange(), timeout)
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+        return None
+
+
+class Soak:
+    """A deployment, its callers and the faults."""
+
+    def __init__(self, options, folder, log):
+        self.rng = random.Random(options.seed)
+        self.options = options
+        self.ledger = Ledger()
+        self.store, self.store_proxy = Store(), Proxy()
+        self.folder, self.log = folder, log
+        self.servers, self.gateways = [], []
+        self.generation, self.version = 0, 0
+        self.shard_sets = []
+        self.counts = collections.Counter()
+        self.stop = False
+        self.number = 0
+
+    def shards(self):
+        return [f"g{self.generation}-s{i}" for i in range(4)]
+
+    def publish(self):
+        self.version += self.rng.randint(1, 3)
+        self.shard_sets.append(set(self.shards()))
+        route = {"host": "wide.example", "kind": "safe", "priority": 1,
+                 "timeout-ms": 1500, "target-latency-ms": 150,
+                 "max-attempts": 2}
+        routes = [
+            {**route, "name": "wide", "prefix": "/wide/", "top-k": TOP_K,
+             "gather": self.shards(), "min-shard-fraction": 0.75},
+            {**route, "name": "once", "prefix": "/once/", "kind": "unsafe",
+             "host": "once.example", "service": "single"}]
+        services = [{"name": s, "health-path": "/health", "protocol": "h1",
+                     "max-connections": 30, "tls": False}
+                    for s in self.shards() + ["single"]]
+        self.store.put("op/config", json.dumps(
+            {"version": self.version, "routes": routes, "services": services,
+             "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144,
+                        "header-timeout-ms": 3000, "idle-timeout-ms": 15000}}))
+
+    async def add_server(self, service, domain):
+        self.number += 1
+        server = BackendServer(f"i-{self.number}", service, domain, self.rng,
+                               self.ledger)
+        await server.start()
+        self.servers.append(server)
+        self.store.put(f"servers/{server.name}", server.entry())
+
+    async def leave(self, server):
+        if server.leaving_since:
+            return
+        server.leaving_since = time.monotonic()
+        self.store.put(f"servers/{server.name}", server.entry())
+        await asyncio.sleep(DRAIN_S + 2)
+        self.store.delete(f"servers/{server.name}")
+        server.server.close()
+        server.proxy.server.close()
+        self.servers.remove(server)
+
+    async def start(self):
+        await self.store.start()
+        await self.store_proxy.start(self.store.port)
+        for service in self.shards() + ["single"]:
+            for domain in DOMAINS:
+                await self.add_server(service, domain)
+        self.store.put("servers/other", "no JSON")
+        self.publish()
+        for index in range(3):
+            gateway = Gateway(self.options, index, self.folder,
+                              self.store_proxy.port, self.log)
+            await gateway.start()
+            self.gateways.append(gateway)
+        await self.wait_ready()
+
+    async def wait_ready(self):
+        for _ in range(100):
+            if all([await g.ready() for g in self.gateways]):
+                return
+            await asyncio.sleep(0.1)
+        self.ledger.fail("an instance is not ready 10 s after its start")
+
+    async def caller(self, index):
+        rng = random.Random(f"{self.options.seed} {index}")
+        while not self.stop:
+            gateway = rng.choice(self.gateways)
+            if not gateway.stopping:
+                await self.call(rng, gateway)
+            await asyncio.sleep(rng.uniform(0.02, 0.08))
+
+    async def call(self, rng, gateway):
+        attempt = f"{rng.getrandbits(64):016x}"
+        wide = rng.random() < 0.7
+        kind = "wide" if wide else "once"
+        target = f"/{kind}/{rng.getrandbits(32):x}?q=1"
+        body = b"" if wide else attempt.encode()
+        self.ledger.sent[attempt] = (target, body)
+        begin = time.monotonic()
+        answer = await ask(gateway.ip, FRONT, "GET" if wide else "POST", target,
+                           {"Host": f"{kind}.example", ATTEMPT: attempt,
+                            "X-Hickorycrank-Timeout-Remaining": "2000"},
+                           body, 2.5)
+        took = time.monotonic() - begin
+        self.check(attempt, kind, target, answer, gateway, begin, took)
+
+    def check(self, attempt, kind, target, answer, gateway, begin, took):
+        runs = self.ledger.runs.get(attempt, [])
+        harmed = gateway.harmed_at > begin - 1.0
+        if kind == "once" and len(runs) > 1:
+            self.ledger.fail(f"{attempt} ran {len(runs)} times")
+        if answer is None:
+            self.counts[f"{kind} none"] += 1
+            if not harmed and not gateway.stopping:
+                self.ledger.fail(f"{attempt} got no answer in {took:.1f} s")
+            return
+        status, fields, content = answer
+        self.counts[f"{kind} {status}"] += 1
+        if took > TIMEOUT_S + CUT_SLACK_S and not harmed:
+            self.ledger.fail(f"{attempt} was answered after {took:.1f} s")
+        if status == 503:
+            self.refused.append(attempt)
+        if status == 404:
+            self.ledger.fail(f"{attempt} got 404 for a route in force")
+        if status != 200:
+            return
+        if kind == "once":
+            expected = b"".join(records_of("single", target))
+            if attempt not in fields.get(SIGNATURE.lower(), "") or \
+                    content != expected:
+                self.ledger.fail(f"{attempt} got an answer of another request")
+            return
+        self.check_merged(attempt, target, fields, content)
+
+    def check_merged(self, attempt, target, fields, content):
+        parts = [p.strip() for p in
+                 fields.get("x-hickorycrank-part-signatures", "").split(",")]
+        services = [p.split(".")[0] for p in parts]
+        missing = int(fields.get("x-hickorycrank-missing-parts", "0"))
+        if any(p.split(".")[-1] != attempt for p in parts) or \
+                len(set(services)) != len(services):
+            self.ledger.fail(f"{attempt} got parts of another request")
+            return
+        if not any(set(services) <= s and len(services) + missing == len(s)
+                   for s in self.shard_sets):
+            self.ledger.fail(f"{attempt} got parts of two configurations")
+        if len(services) < 3:
+            self.ledger.fail(f"{attempt} got fewer shards than allowed")
+        records = sorted((r for s in services for r in records_of(s, target)),
+                         reverse=True)
+        if content != b"".join(records[:TOP_K]) or \
+                len(content) % RECORD_BYTES:
+            self.ledger.fail(f"{attempt} got wrong records")
+        self.counts["partial"] += 1 if missing else 0
+
+    # Faults. Each returns after its end.
+    async def restart(self, gateway, number):
+        planned = number == signal.SIGTERM
+        gateway.stopping = planned
+        if not planned:
+            gateway.harmed_at = time.monotonic()
+        gateway.signal(number)
+        await gateway.process.wait()
+        await asyncio.sleep(self.rng.uniform(0.05, 0.5))
+        if not planned:
+            gateway.harmed_at = time.monotonic()
+        await gateway.start()
+        gateway.stopping = True
+        for _ in range(60):
+            if await gateway.ready():
+                break
+            await asyncio.sleep(0.1)
+        gateway.stopping = False
+        self.ledger.calm_since = time.monotonic()
+
+    async def freeze(self, gateway):
+        gateway.harmed_at = time.monotonic()
+        gateway.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.3, 2.5))
+        gateway.signal(signal.SIGCONT)
+        gateway.harmed_at = time.monotonic() + 1.0
+        self.ledger.calm_since = time.monotonic()
+
+    async def harm_server(self, server):
+        fault = self.rng.choice(["lose", "garble", "extra", "shed", "pause"])
+        server.fault = fault
+        await asyncio.sleep(self.rng.uniform(1, 3))
+        server.fault = None
+
+    async def harm_link(self, proxy):
+        proxy.mode = self.rng.choice(["refuse", "silent", "one_way", "slow"])
+        if proxy.mode == "refuse":
+            proxy.reset()
+        await asyncio.sleep(self.rng.uniform(0.5, 2.5))
+        proxy.mode = "pass"
+        proxy.reset()
+        if proxy is self.store_proxy:
+            self.ledger.calm_since = time.monotonic()
+
+    async def harm_store(self):
+        self.store.mode = self.rng.choice(["busy", "silent"])
+        await asyncio.sleep(self.rng.uniform(0.5, 3))
+        self.store.mode = "up"
+        if self.rng.random() < 0.3:
+            self.store.forget_history()
+        self.ledger.calm_since = time.monotonic()
+
+    async def repartition(self):
+        old = [s for s in self.servers if s.service in self.shards()]
+        self.generation += 1
+        for service in self.shards():
+            for domain in DOMAINS:
+                await self.add_server(service, domain)
+        await asyncio.sleep(1)
+        self.publish()
+        await asyncio.sleep(3)
+        await asyncio.gather(*(self.leave(s) for s in old))
+
+    async def replace_server(self):
+        server = self.rng.choice(self.servers)
+        await self.add_server(server.service, server.domain)
+        await self.leave(server)
+
+    async def faults(self):
+        """Starts faults that overlap until the time is over."""
+        running = set()
+        end = time.monotonic() + self.options.seconds
+        repartitioning = None
+        while time.monotonic() < end:
+            kind = self.rng.randrange(9)
+            gateway = self.rng.choice(self.gateways)
+            free = not gateway.stopping and gateway.harmed_at < \
+                time.monotonic() - 3 and sum(g.stopping for g in
+                                             self.gateways) == 0
+            fault = None
+            if kind == 0 and free:
+                fault = self.restart(gateway, signal.SIGTERM)
+            elif kind == 1 and free:
+                fault = self.restart(gateway, signal.SIGKILL)
+            elif kind == 2 and free:
+                fault = self.freeze(gateway)
+            elif kind in (3, 4):
+                fault = self.harm_server(self.rng.choice(self.servers))
+            elif kind == 5:
+                fault = self.harm_link(self.rng.choice(self.servers).proxy)
+            elif kind == 6:
+                fault = self.rng.choice([self.harm_store, lambda:
+                                         self.harm_link(self.store_proxy)])()
+            elif kind == 7:
+                fault = self.replace_server()
+            elif repartitioning is None or repartitioning.done():
+                fault = repartitioning = asyncio.ensure_future(
+                    self.repartition())
+            if fault is not None:
+                running.add(asyncio.ensure_future(fault))
+            gateway.reload()
+            await asyncio.sleep(self.rng.uniform(0.1, 0.8))
+        await asyncio.gather(*running)
+
+    async def run(self):
+        self.refused = []
+        await self.start()
+        callers = [asyncio.ensure_future(self.caller(i)) for i in range(8)]
+        await self.faults()
+        await asyncio.sleep(STABLE_S)
+        self.counts.clear()
+        await asyncio.sleep(2)
+        calm = dict(self.counts)
+        self.stop = True
+        await asyncio.gather(*callers)
+        for attempt in self.refused:
+            if self.ledger.runs.get(attempt) and \
+                    "once" in self.ledger.sent[attempt][0]:
+                self.ledger.fail(f"{attempt} was refused as not run, and ran")
+        good = calm.get("wide 200", 0) + calm.get("once 200", 0)
+        total = sum(v for k, v in calm.items() if k != "partial")
+        if good < 0.99 * total or not good:
+            self.ledger.fail(f"after the faults {good} of {total} are served")
+        print(f"seed {self.options.seed}: {len(self.ledger.sent)} requests, "
+              f"calm {calm}, {len(self.ledger.violations)} violations")
+        return 1 if self.ledger.violations else 0
+
+    async def run_and_end(self):
+        """Runs and ends the processes that were started, whatever happens."""
+        try:
+            return await self.run()
+        finally:
+            for gateway in self.gateways:
+                gateway.signal(signal.SIGKILL)
+                await gateway.process.wait()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--program", default="build/src/hickorycrank")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--log", help="file for the gateways' logs")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder, \
+            open(options.log or os.devnull, "w") as log:
+        return asyncio.run(Soak(options, folder, log).run_and_end())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/stand_ins.py
@@ -0,0 +1,232 @@
+"""Stand-ins for the soak: metadata store, backend servers and a TCP proxy."""
+import asyncio
+import base64
+import hashlib
+import json
+import time
+import urllib.parse
+
+RECORD_BYTES = 16
+ATTEMPT = "x-hickorycrank-attempt-id"
+REMAINING = "x-hickorycrank-timeout-remaining"
+EXPECTED = "x-hickorycrank-expected-instance"
+SIGNATURE = "X-Hickorycrank-Response-Signature"
+
+
+async def read_request(reader):
+    """Returns (method, target, headers, body), or None at the end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    body = b""
+    length = int(headers.get("content-length", "0"))
+    if length:
+        body = await reader.readexactly(length)
+    return method, target, headers, body
+
+
+def response(status, headers, body):
+    """Builds the bytes of one HTTP response."""
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
+    for name, value in headers.items():
+        head += f"{name}: {value}\r\n"
+    return head.encode() + b"\r\n" + body
+
+
+def records_of(service, target):
+    """Records that a shard holds for a request; equal at all its servers."""
+    digest = hashlib.sha256(f"{service} {target}".encode()).digest() * 3
+    return [digest[i:i + RECORD_BYTES]
+            for i in range(0, 6 * RECORD_BYTES, RECORD_BYTES)]
+
+
+class Proxy:
+    """Forwards TCP connections, and harms them on demand."""
+
+    def __init__(self):
+        self.mode = "pass"  # pass, refuse, silent, one_way or slow
+        self.writers = set()
+        self.server = None
+        self.port = 0
+
+    async def start(self, target_port):
+        self.target_port = target_port
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def accept(self, reader, writer):
+        if self.mode == "refuse":
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                "127.0.0.1", self.target_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, far_writer}
+        await asyncio.gather(self.pump(reader, far_writer, True),
+                             self.pump(far_reader, writer, False))
+        self.writers -= {writer, far_writer}
+
+    async def pump(self, reader, writer, upwards):
+        try:
+            while data := await reader.read(65536):
+                while self.mode == "silent":
+                    await asyncio.sleep(0.05)
+                if self.mode == "one_way" and not upwards:
+                    continue
+                if self.mode == "slow":
+                    await asyncio.sleep(0.08)
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        except (ConnectionError, RuntimeError):
+            writer.transport.abort()
+
+    def reset(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+class Store:
+    """The platform's metadata store: get by range, watch, history."""
+
+    def __init__(self):
+        self.items = {}
+        self.log = []
+        self.revision = 10
+        self.floor = 10
+        self.changed = asyncio.Event()
+        self.mode = "up"  # up, busy or silent
+        self.impaired_at = 0.0
+
+    def put(self, key, value):
+        self.revision += 1
+        item = {"key": key, "revision": self.revision, "created": 1, "lease": 0,
+                "value": base64.b64encode(value.encode()).decode()}
+        self.items[key] = item
+        self.announce(item)
+
+    def delete(self, key):
+        self.revision += 1
+        if self.items.pop(key, None):
+            self.announce({"key": key, "revision": self.revision,
+                           "deleted": True})
+
+    def announce(self, event):
+        self.log.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def forget_history(self):
+        self.floor = self.revision
+        self.log = []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def accept(self, reader, writer):
+        try:
+            while request := await read_request(reader):
+                status, body = await self.answer(request[1])
+                writer.write(response(status, {}, json.dumps(body).encode()))
+                await writer.drain()
+        except ConnectionError:
+            pass
+        writer.close()
+
+    async def answer(self, target):
+        if self.mode == "silent":
+            await asyncio.sleep(30)
+        if self.mode == "busy":
+            return 503, {}
+        path, _, text = target.partition("?")
+        query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
+        if path == "/kv-range":
+            return 200, {"items": list(self.items.values()), "has-more": False,
+                         "as-of": self.revision}
+        after = int(query["after"])
+        if after < self.floor:
+            return 410, {}
+        deadline = time.monotonic() + int(query["wait-ms"]) / 1000
+        while True:
+            events = [e for e in self.log if e["revision"] > after]
+            left = deadline - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "as-of": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+
+class BackendServer:
+    """One backend server; it records what it ran for the checks."""
+
+    def __init__(self, name, service, domain, rng, ledger):
+        self.name, self.service, self.domain = name, service, domain
+        self.rng, self.ledger = rng, ledger
+        self.fault = None  # lose, garble, extra, shed or pause
+        self.leaving_since = None
+        self.proxy = Proxy()
+        self.born = int(time.time() * 1000)
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        await self.proxy.start(self.server.sockets[0].getsockname()[1])
+
+    def entry(self):
+        return json.dumps({
+            "service": self.service, "address": f"127.0.0.1:{self.proxy.port}",
+            "zone": self.domain, "version": "v1", "slots": 3,
+            "state": "draining" if self.leaving_since else "ready",
+            "cold-remaining-ms": 0, "sequence": 1, "born": self.born})
+
+    async def accept(self, reader, writer):
+        try:
+            while request := await read_request(reader):
+                if not await self.serve(request, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        writer.transport.abort()
+
+    async def serve(self, request, writer):
+        _, target, headers, body = request
+        attempt = headers.get(ATTEMPT, "")
+        echo = {"X-Hickorycrank-Attempt-Id": attempt}
+        if headers.get(EXPECTED) != self.name:
+            writer.write(response(421, echo, b""))
+            return True
+        if self.fault == "shed" and self.rng.random() < 0.5:
+            writer.write(response(
+                503, {**echo, "X-Hickorycrank-Not-Executed": "1"}, b""))
+            return True
+        if self.fault == "pause":
+            await asyncio.sleep(0.2)
+        self.ledger.ran(self, attempt, target, body, headers)
+        await asyncio.sleep(self.rng.uniform(0.002, 0.02))
+        signature = self.ledger.sign(self.service, self.name, attempt)
+        answer = b"".join(records_of(self.service, target))
+        whole = response(200, {**echo, SIGNATURE: signature}, answer)
+        if self.fault == "lose" and self.rng.random() < 0.3:
+            return False
+        if self.fault == "garble" and self.rng.random() < 0.3:
+            writer.write(whole[:-7])
+            await writer.drain()
+            return False
+        writer.write(whole)
+        if self.fault == "extra" and self.rng.random() < 0.3:
+            writer.write(whole)
+        await writer.drain()
+        return True
--- a/src/cli/gateway.cpp
+++ b/src/cli/gateway.cpp
@@ -82,6 +82,9 @@
 } // namespace
 
 int runGateway(int Count, const char **Arguments) {
+  // Until the handler below is set, a changed file is read anyway; without
+  // this, the signal would end the process while it starts.
+  std::signal(SIGHUP, SIG_IGN);
   const char *Default = std::getenv(platform::SettingsVariable);
   char *Path = nullptr;
   const poptOption Options[] = {{"settings", 's', POPT_ARG_STRING, &Path, 0,
--- a/src/daemon/fleet_node_base.h
+++ b/src/daemon/fleet_node_base.h
@@ -98,6 +98,9 @@
   const FleetCounters &counters() const { return this->Counters; }
 
 private:
+  /** A heartbeat is far smaller; a longer datagram is cut and refused. */
+  static constexpr size_t MaxDatagramBytes = 16'384;
+
   void receive();
   void onDatagram(size_t Count);
   void onPulled(const net::ExchangeResult &Result, bool StoreStable);
@@ -109,7 +112,7 @@
   fleet::Roster Members;
   boost::asio::ip::udp::socket Socket;
   boost::asio::ip::udp::endpoint Sender;
-  std::array<char, 16 * 1024> Datagram;
+  std::array<char, MaxDatagramBytes> Datagram;
   std::shared_ptr<net::HttpPool> Pull; ///< While a view is being copied.
   base::TimePoint StartedAt;
   base::TimePoint SentAt;
