--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -52,6 +52,7 @@
 
 void FleetNode::setSeeds(const std::vector<config::Endpoint> &Seeds) {
   std::vector<std::string> Addresses;
+  Addresses.reserve(Seeds.size());
   for (const config::Endpoint &Seed : Seeds) {
     Addresses.push_back(
         config::toString({Seed.Address, this->Own.Heartbeats.Port}));
@@ -113,8 +114,8 @@
   Request.Path = std::string(UpdatePath) + "?" + SinceParameter + "=" +
                  std::to_string(this->Handlers.Revision());
   this->Pull->send(std::move(Request), Clock::now() + PullTimeout, true,
-                   [Weak = this->weak_from_this(),
-                    Stable = Ahead->StoreStable](net::ExchangeResult Result) {
+                   [Weak = this->weak_from_this(), Stable = Ahead->StoreStable](
+                       const net::ExchangeResult &Result) {
                      auto Self = Weak.lock();
                      if (Self && !Self->Stopped) {
                        Self->onPulled(Result, Stable);
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -4,6 +4,7 @@
 #include "config/settings_func.h"
 #include "daemon/gateway_message_func.h"
 
+#include <cmath>
 #include <ctime>
 #include <utility>
 
@@ -250,36 +251,46 @@
   Pending Ended = std::move(Found->second);
   this->Calls.erase(Found);
   this->CallByToken.erase(Ended.Token);
-  this->logResult(Ended, Decided.Result, suspendAwareNow() - Ended.ArrivedAt);
+  this->logResult(Ended, Decided, suspendAwareNow() - Ended.ArrivedAt);
   this->Callers.respond(Ended.Token,
                         toResponse(Decided.Result, this->Dialect.Headers));
 }
 
-void Gateway::logResult(const Pending &Ended, const forward::CallResult &Result,
-                        Duration Took) {
-  LogFields Fields{{"request", Ended.Source->AttemptId},
-                   {"took_ms", std::to_string(base::toMilliseconds(Took))}};
-  if (const auto *Reason = std::get_if<forward::Refusal>(&Result)) {
-    this->Metrics.recordLatency("hickorycrank_refusal", {}, Took);
+void Gateway::logResult(const Pending &Ended,
+                        const forward::RespondCall &Decided, Duration Took) {
+  const forward::CallSummary &Known = Decided.Summary;
+  const auto *Reason = std::get_if<forward::Refusal>(&Decided.Result);
+  const auto *Merged = std::get_if<forward::MergedAnswer>(&Decided.Result);
+  const auto *Received = std::get_if<forward::Reply>(&Decided.Result);
+  this->Metrics.recordLatency(Reason != nullptr ? "hickorycrank_refusal"
+                                                : "hickorycrank_answer",
+                              {}, Took);
+  bool Partial = Merged != nullptr && Merged->Missing > 0;
+  bool ServerError = Received != nullptr && Received->Status >= 500;
+  if (Reason == nullptr && !Partial && !ServerError) {
+    return; // Counted only; a line for each would cost more than the request.
+  }
+  LogFields Fields{
+      {"request", Ended.Source->AttemptId},
+      {"route", Known.Route},
+      {"config_version", std::to_string(Known.Version)},
+      {"took_ms", std::to_string(std::lround(base::toMilliseconds(Took)))},
+      {"shards", std::to_string(Known.Shards)},
+      {"answered", std::to_string(Known.Answered)},
+      {"attempts", std::to_string(Known.Attempts)},
+      {"broken", std::to_string(Known.Broken)},
+      {"not_reached", std::to_string(Known.Unsent)},
+      {"view_revision", std::to_string(this->View.revision())}};
+  const char *Event = Partial ? "request.partial" : "request.server_error";
+  if (Reason != nullptr) {
+    Event = "request.refused";
     Fields["reason"] = forward::toString(Reason->Reason);
     Fields["ran"] = Reason->MayHaveRun ? "may_have_run" : "not_run";
-    Fields["config_version"] = std::to_string(
-        this->Engine.routes() ? this->Engine.routes()->Version : 0);
-    this->Limit.log(Clock::now(), LogLevel::Warning, "request.refused", Fields);
-    return;
-  }
-  this->Metrics.recordLatency("hickorycrank_answer", {}, Took);
-  const auto *Merged = std::get_if<forward::MergedAnswer>(&Result);
-  if (Merged != nullptr && Merged->Missing > 0) {
-    Fields["missing"] = std::to_string(Merged->Missing);
-    this->Limit.log(Clock::now(), LogLevel::Info, "request.partial", Fields);
   }
-  const auto *Received = std::get_if<forward::Reply>(&Result);
-  if (Received != nullptr && Received->Status >= 500) {
+  if (ServerError) {
     Fields["status"] = std::to_string(Received->Status);
-    this->Limit.log(Clock::now(), LogLevel::Warning, "request.server_error",
-                    Fields);
   }
+  this->Limit.log(Clock::now(), LogLevel::Warning, Event, std::move(Fields));
 }
 
 void Gateway::scheduleWake() {
--- a/src/daemon/gateway_base.h
+++ b/src/daemon/gateway_base.h
@@ -88,7 +88,7 @@
   void onCallerGone(net::ForwardToken Token);
   void carryOut(forward::Actions &&Decided);
   void respond(const forward::RespondCall &Decided);
-  void logResult(const Pending &Ended, const forward::CallResult &Result,
+  void logResult(const Pending &Ended, const forward::RespondCall &Decided,
                  base::Duration Took);
   void scheduleWake();
   void startTimers();
--- a/src/daemon/log_func.cpp
+++ b/src/daemon/log_func.cpp
@@ -2,7 +2,10 @@
 
 #include <boost/json.hpp>
 #include <chrono>
+#include <cstdio>
+#include <fcntl.h>
 #include <glog/logging.h>
+#include <unistd.h>
 
 namespace hickorycrank::daemon {
 
@@ -13,6 +16,18 @@
   google::InitGoogleLogging(Program);
 }
 
+void logWithoutBlocking() {
+  FLAGS_logtostderr = false;
+  FLAGS_logtostdout = true;
+  // A pipe would otherwise show lines only in blocks, seconds later.
+  setvbuf(stdout, nullptr, _IOLBF, 0);
+  int Flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (Flags < 0 || fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK) < 0) {
+    logEvent(LogLevel::Warning, "log.blocking",
+             {{"remedy", "give the process a standard output"}});
+  }
+}
+
 void logEvent(LogLevel Level, const std::string &Event,
               const LogFields &Fields) {
   static constexpr const char *Names[] = {"info", "warning", "error"};
--- a/src/daemon/log_func.h
+++ b/src/daemon/log_func.h
@@ -15,6 +15,12 @@
 /** Sets glog up for JSON lines on standard error. @param Program argv[0]. */
 void initialiseLogging(const char *Program);
 
+/**
+ * Sends log lines to standard output and never waits for its reader: what a
+ * full pipe does not take is lost, so that logging holds up no request.
+ */
+void logWithoutBlocking();
+
 /**
  * Writes one event as a JSON line.
  * @param Level Severity.
--- a/src/forward/action_type.h
+++ b/src/forward/action_type.h
@@ -28,6 +28,7 @@
 struct RespondCall {
   CallId Id;
   CallResult Result;
+  CallSummary Summary;
 };
 
 /** Close the connections to a server that is gone. */
--- a/src/forward/call_type.h
+++ b/src/forward/call_type.h
@@ -80,6 +80,17 @@
 /** What a caller finally gets; a Reply is passed on unchanged. */
 using CallResult = std::variant<Reply, MergedAnswer, Refusal>;
 
+/** What was done for a call, for its log line. */
+struct CallSummary {
+  std::string Route;    ///< Empty if there was none.
+  uint64_t Version = 0; ///< Of the configuration in use; 0: none.
+  uint32_t Shards = 0;  ///< Services that were needed.
+  uint32_t Answered = 0;
+  uint32_t Attempts = 0; ///< Sent to backend servers.
+  uint32_t Broken = 0;   ///< Attempts that ended without a valid reply.
+  uint32_t Unsent = 0;   ///< Shards that no attempt reached.
+};
+
 /** One attempt of a part. */
 struct Attempt {
   ServerKey Server;
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -140,9 +140,11 @@
   return Best->Service;
 }
 
-void Engine::refuse(CallId Id, const Refusal &Reason, Actions &Out) {
+void Engine::refuse(CallId Id, const Refusal &Reason, Actions &Out,
+                    CallSummary Summary) {
   ++this->Counters.Refusals[static_cast<size_t>(Reason.Reason)];
-  Out.push_back(RespondCall{Id, Reason});
+  Summary.Version = this->Table ? this->Table->Version : 0;
+  Out.push_back(RespondCall{Id, Reason, std::move(Summary)});
 }
 
 bool Engine::refuseUnservable(Call &Target, Actions &Out) {
@@ -155,7 +157,7 @@
     return false;
   }
   this->refuse(Target.Id, {RefusalReason::NoServer, false, NoServerRetryAfter},
-               Out);
+               Out, summarise(Target));
   this->Calls.erase(Target.Id.Value);
   return true;
 }
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -134,7 +134,8 @@
   size_t Spare = Target.Parts.size() - requiredShards(*Target.Source);
   if (Lost > Spare) {
     auto Wait = std::chrono::ceil<std::chrono::milliseconds>(Back - Now);
-    this->refuse(Target.Id, {RefusalReason::NoServer, false, Wait}, Out);
+    this->refuse(Target.Id, {RefusalReason::NoServer, false, Wait}, Out,
+                 summarise(Target));
     this->Calls.erase(Target.Id.Value);
     return true;
   }
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -194,7 +194,8 @@
 
   // Admission (engine.cpp).
   const std::string &chooseService(const Route &Source);
-  void refuse(CallId Id, const Refusal &Reason, Actions &Out);
+  void refuse(CallId Id, const Refusal &Reason, Actions &Out,
+              CallSummary Summary = {});
   bool refuseUnservable(Call &Target, Actions &Out);
   Call *find(uint64_t Id);
 
@@ -224,6 +225,7 @@
   void conclude(base::TimePoint Now, Call &Target, bool TimedOut, Actions &Out);
   CallResult buildResult(const Call &Target, bool TimedOut) const;
   CallResult buildFailure(const Call &Target, bool TimedOut) const;
+  static CallSummary summarise(const Call &Target);
   void scheduleWake(base::TimePoint Now, Call &Target);
 
   EngineOptions Options;
--- a/src/forward/engine_progress.cpp
+++ b/src/forward/engine_progress.cpp
@@ -80,7 +80,7 @@
   if (const auto *Merged = std::get_if<MergedAnswer>(&Result)) {
     this->Counters.PartialAnswers += Merged->Missing > 0 ? 1 : 0;
   }
-  Out.push_back(RespondCall{Target.Id, std::move(Result)});
+  Out.push_back(RespondCall{Target.Id, std::move(Result), summarise(Target)});
   this->Calls.erase(Target.Id.Value);
 }
 
@@ -130,6 +130,20 @@
                  false, OverloadRetryAfter};
 }
 
+CallSummary Engine::summarise(const Call &Target) {
+  CallSummary Summary;
+  Summary.Route = Target.Source->Name;
+  Summary.Version = Target.Table->Version;
+  Summary.Shards = static_cast<uint32_t>(Target.Parts.size());
+  Summary.Answered = Target.Answered;
+  for (const Part &Entry : Target.Parts) {
+    Summary.Attempts += static_cast<uint32_t>(Entry.Attempts.size());
+    Summary.Broken += Entry.Broken;
+    Summary.Unsent += Entry.Arrivals == 0 ? 1 : 0;
+  }
+  return Summary;
+}
+
 void Engine::scheduleWake(TimePoint Now, Call &Target) {
   TimePoint Next = Target.Deadline;
   for (const Part &Entry : Target.Parts) {
