--- a/src/net/fleet_codec_func.cpp
+++ b/src/net/fleet_codec_func.cpp
@@ -132,7 +132,7 @@
   if (!Decoded) {
     return Decoded.error();
   }
-  gen::ViewUpdate Wire = std::move(Decoded.value());
+  gen::ViewUpdate &Wire = Decoded.value();
   if (Wire.changes.size() > MaxItems) {
     return Error{ErrorKind::TooLarge, "view update: too many changes"};
   }
--- a/src/net/forward_session.cpp
+++ b/src/net/forward_session.cpp
@@ -22,7 +22,7 @@
 /** Time for a response to be taken by the caller. */
 constexpr base::Duration WriteTimeout = std::chrono::seconds(15);
 /** Input kept while a request is in progress; more closes the connection. */
-constexpr size_t MaxPipelinedBytes = 64 * 1024;
+constexpr size_t MaxPipelinedBytes = 65'536;
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -28,7 +28,7 @@
 /** Idle time if the server states none, and its margin if it does. */
 constexpr base::Duration DefaultKeepAlive = std::chrono::seconds(8);
 constexpr base::Duration KeepAliveMargin = std::chrono::milliseconds(700);
-constexpr uint64_t MaxReplyBytes = 8 * 1024 * 1024;
+constexpr uint64_t MaxReplyBytes = 8'388'608;
 
 } // namespace
 
