Mend what a review of the gateway found

Without a test of their own: a reader that took over counted as healthy before its first call, work that fell due during a suspend waited for the steady timer, a changed grace time moved the end of a stop in progress.

Simpler: one admission for lost and overloaded shards in its own file, one rule for the parts that an answer needs, the shared budget moved to limits/, unused fields removed (priority, process number, flag for header fields), and counters of callers, pulls and heartbeats shown in /metrics.

Ruled out: merging the whole-message server with net::HttpServer, which runs on several threads and keeps one field a name.

--- a/src/config/gateway_settings_type.h
+++ b/src/config/gateway_settings_type.h
@@ -3,7 +3,7 @@
 
 #include "base/id_type.h"
 #include "config/settings_type.h"
-#include "forward/extra_budget_base.h"
+#include "limits/shared_budget_base.h"
 
 #include <chrono>
 #include <vector>
@@ -20,7 +20,7 @@
   Endpoint Heartbeats;         ///< UDP; the port is the same on all instances.
   Endpoint Store;              ///< The platform's metadata store.
   std::vector<Endpoint> Seeds; ///< Control endpoints of some instances.
-  forward::ExtraLimits Extra;  ///< Extra attempts of all instances together.
+  limits::SharedLimits Extra;  ///< Extra attempts of all instances together.
   std::chrono::milliseconds Grace{6'000}; ///< From SIGTERM to SIGKILL.
 };
 
--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -28,7 +28,7 @@
 FleetNode::FleetNode(asio::io_context &Context,
                      const config::GatewaySettings &Own, uint64_t Seed,
                      FleetCallbacks Handlers)
-    : Context(Context), Own(Own), Process(Seed), Handlers(std::move(Handlers)),
+    : Context(Context), Own(Own), Handlers(std::move(Handlers)),
       Members(Clock::now(), config::toString(Own.Heartbeats), Own.Domain, Seed),
       Socket(Context), StartedAt(Clock::now()) {
   udp::endpoint Where(asio::ip::make_address(Own.Heartbeats.Address),
@@ -73,7 +73,6 @@
   fleet::Heartbeat Message = this->Handlers.Describe();
   Message.Address = config::toString(this->Own.Heartbeats);
   Message.Control = config::toString(this->Own.Control);
-  Message.Process = this->Process;
   Message.Domain = this->Own.Domain;
   Message.Peers = this->Members.addresses();
   std::string Bytes = net::encodeHeartbeat(Message);
--- a/src/daemon/fleet_node_base.h
+++ b/src/daemon/fleet_node_base.h
@@ -51,7 +51,7 @@
    * Binds the address for heartbeats.
    * @param Context Runs the node.
    * @param Own Settings of the process.
-   * @param Seed For random choices and as the number of this process.
+   * @param Seed For random choices.
    * @param Handlers What to ask of and tell the owner.
    * @throws boost::system::system_error if the address cannot be bound.
    */
@@ -107,7 +107,6 @@
 
   boost::asio::io_context &Context;
   config::GatewaySettings Own;
-  base::Incarnation Process;
   FleetCallbacks Handlers;
   fleet::Roster Members;
   boost::asio::ip::udp::socket Socket;
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -147,6 +147,10 @@
     if (this->View.expire(Event.Now)) {
       this->applyServers();
     }
+    // The timer does not count the time for which the machine is suspended.
+    if (suspendAwareNow() >= this->WakeAt) {
+      this->wake();
+    }
   });
   this->Timers.subscribe(StopCheckPeriod,
                          [this](const base::Tick &) { this->finishStop(); });
@@ -216,7 +220,7 @@
   forward::CallId Id(Found->second);
   this->CallByToken.erase(Found);
   forward::Actions Decided;
-  this->Engine.onCallerGone(suspendAwareNow(), Id, Decided);
+  this->Engine.onCallerGone(Id, Decided);
   this->Calls.erase(Id.Value);
   this->carryOut(std::move(Decided));
 }
@@ -307,13 +311,17 @@
         if (Failure || !Self) {
           return;
         }
-        Self->WakeAt = TimePoint::max();
-        forward::Actions Decided;
-        Self->Engine.onTick(suspendAwareNow(), Decided);
-        Self->carryOut(std::move(Decided));
+        Self->wake();
       });
 }
 
+void Gateway::wake() {
+  this->WakeAt = TimePoint::max();
+  forward::Actions Decided;
+  this->Engine.onTick(suspendAwareNow(), Decided);
+  this->carryOut(std::move(Decided));
+}
+
 void Gateway::stop(std::function<void()> Done) {
   if (this->Stopping) {
     return;
@@ -323,6 +331,7 @@
       {{"in_progress", std::to_string(this->Callers.requestsInProgress())}});
   this->Stopping = true;
   this->OnStopped = std::move(Done);
+  this->CloseAt = Clock::now() + BalancerTime;
   this->StopAt = Clock::now() + this->Own.Grace - ExitMargin;
   this->Callers.setClosing(true);
 }
@@ -332,7 +341,7 @@
     return;
   }
   TimePoint Now = Clock::now();
-  if (Now < this->StopAt - this->Own.Grace + ExitMargin + BalancerTime) {
+  if (Now < this->CloseAt) {
     return;
   }
   this->Callers.stopAccepting();
--- a/src/daemon/gateway_base.h
+++ b/src/daemon/gateway_base.h
@@ -91,6 +91,7 @@
   void logResult(const Pending &Ended, const forward::RespondCall &Decided,
                  base::Duration Took);
   void scheduleWake();
+  void wake();
   void startTimers();
   void scheduleTick();
   void finishStop();
@@ -131,7 +132,8 @@
   metrics::Registry Metrics;
   LogLimit Limit;
   bool Stopping = false;
-  base::TimePoint StopAt; ///< When the grace time is nearly over.
+  base::TimePoint CloseAt; ///< When the balancer sends no more callers.
+  base::TimePoint StopAt;  ///< When the grace time is nearly over.
   std::function<void()> OnStopped;
 };
 
--- a/src/daemon/gateway_message_func.cpp
+++ b/src/daemon/gateway_message_func.cpp
@@ -106,7 +106,6 @@
   if (Framed) {
     Result.Message.content_length(Result.Message.body().size());
   }
-  Result.PassFields = true;
   return Result;
 }
 
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -180,8 +180,18 @@
   Count("store_failures", this->Reader->counters().Failures);
   Count("heartbeats_sent", this->Fleet->counters().Sent);
   Count("heartbeats_received", this->Fleet->counters().Received);
+  Count("heartbeats_malformed", this->Fleet->counters().Malformed);
   Count("view_pulls", this->Fleet->counters().Pulls);
+  Count("view_pulls_failed", this->Fleet->counters().PullsFailed);
+  const net::ForwardServerCounters &Accepted = this->Callers.counters();
+  Count("caller_connections", Accepted.Accepted);
+  Count("caller_requests", Accepted.Requests);
+  Count("caller_requests_malformed", Accepted.Malformed);
+  Count("caller_requests_too_large", Accepted.TooLarge);
+  Count("caller_header_timeouts", Accepted.HeaderTimeouts);
+  Count("caller_idle_closed", Accepted.IdleClosed);
   Add("instances", static_cast<double>(this->Fleet->instances(Clock::now())));
+  Add("routes_observed", static_cast<double>(this->Engine.observedRoutes()));
   Add("backend_servers", static_cast<double>(this->Engine.servers()));
   Add("connections", static_cast<double>(this->Upstream.connections()));
   Add("calls_in_progress", static_cast<double>(this->Engine.callsInProgress()));
--- a/src/daemon/store_reader.cpp
+++ b/src/daemon/store_reader.cpp
@@ -51,6 +51,8 @@
     return;
   }
   this->Paused = false;
+  // What happened to the store while others read it is not known.
+  this->LastTrouble = Clock::now();
   this->Revision = std::max(this->Revision, Known);
   logEvent(LogLevel::Info, "store.reading",
            {{"revision", std::to_string(this->Revision)}});
@@ -62,6 +64,7 @@
     return;
   }
   this->Paused = true;
+  this->Healthy = false;
   this->RetryPending = false;
   this->RetryTimer.cancel();
   this->Pool->cancel(this->Exchange, true);
--- a/src/daemon/store_reader_base.h
+++ b/src/daemon/store_reader_base.h
@@ -59,9 +59,7 @@
   void restartWatch();
 
   /** @return Whether it follows the store and the last call succeeded. */
-  bool isHealthy() const { return this->Healthy && !this->Paused; }
-  /** @return Whether it leaves the store to other instances. */
-  bool isPaused() const { return this->Paused; }
+  bool isHealthy() const { return this->Healthy; }
   /** @param Now Current time. @return Whether nothing has failed for longer
    * than lapsed entries take to come back. */
   bool isStable(base::TimePoint Now) const;
--- a/src/discovery/item_type.h
+++ b/src/discovery/item_type.h
@@ -61,7 +61,7 @@
   std::function<base::Result<forward::ServerEntry>(const Item &)> DecodeServer;
   std::function<base::Result<forward::RouteTable>(const Item &)> DecodeRoutes;
   /** Status of a watch whose history is no longer available. */
-  unsigned HistoryGoneStatus = 410;
+  unsigned HistoryGoneStatus = 0;
 };
 
 } // namespace hickorycrank::discovery
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -13,7 +13,6 @@
 struct Heartbeat {
   std::string Address; ///< "IP:port" for heartbeats.
   std::string Control; ///< "IP:port" that serves snapshots of the view.
-  base::Incarnation Process;
   bool Leaving = false;
   uint64_t ChangedAt = 0; ///< Revision of the last change of its view.
   base::FailureDomainId Domain;
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -4,6 +4,8 @@
 #include "forward/route_table_func.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace hickorycrank::forward {
@@ -17,8 +19,6 @@
 constexpr Duration DeliveryMargin = std::chrono::milliseconds(12);
 /** Time in which an instance without a configuration usually learns one. */
 constexpr std::chrono::milliseconds NotReadyRetryAfter(300);
-/** Time in which a lost server is usually back or replaced. */
-constexpr std::chrono::milliseconds NoServerRetryAfter(1'000);
 
 } // namespace
 
@@ -53,11 +53,15 @@
   for (const auto &[Name, Spec] : this->Table->Services) {
     this->Servers.pool(Name).MaxConnections = Spec.MaxConnections;
   }
-  std::erase_if(this->Turns, [&](const auto &Entry) {
-    return std::none_of(
-        this->Table->Routes.begin(), this->Table->Routes.end(),
-        [&](const Route &Known) { return Known.Name == Entry.first; });
-  });
+  std::set<std::string_view> Names;
+  for (const Route &Known : this->Table->Routes) {
+    Names.insert(Known.Name);
+  }
+  auto IsGone = [&Names](const auto &Entry) {
+    return Names.count(Entry.first) == 0;
+  };
+  std::erase_if(this->Turns, IsGone);
+  std::erase_if(this->Latencies, IsGone);
   return true;
 }
 
@@ -111,69 +115,24 @@
   for (Part &Needed : Target.Parts) {
     Needed.Pool->Budget.recordRequest(Now);
   }
-  if (this->refuseUnservable(Target, Out)) {
-    return Id;
-  }
-  if (this->leaveOutOverloaded(Now, Target, Out)) {
-    return Id;
+  if (this->admit(Now, Target, Out)) {
+    this->advance(Now, Target, Out);
   }
-  this->advance(Now, Target, Out);
   return Id;
 }
 
-const std::string &Engine::chooseService(const Route &Source) {
-  if (Source.Choices.size() == 1) {
-    return Source.Choices.front().Service;
-  }
-  // Smooth weighted round-robin keeps each share exact over short spans.
-  auto &Shares = this->Turns[Source.Name];
-  double Total = 0;
-  const WeightedService *Best = nullptr;
-  for (const WeightedService &Choice : Source.Choices) {
-    Total += Choice.Weight;
-    Shares[Choice.Service] += Choice.Weight;
-    if (Best == nullptr || Shares[Choice.Service] > Shares[Best->Service]) {
-      Best = &Choice;
-    }
-  }
-  Shares[Best->Service] -= Total;
-  return Best->Service;
-}
-
-void Engine::refuse(CallId Id, const Refusal &Reason, Actions &Out,
-                    CallSummary Summary) {
-  ++this->Counters.Refusals[static_cast<size_t>(Reason.Reason)];
-  Summary.Version = this->Table ? this->Table->Version : 0;
-  Out.push_back(RespondCall{Id, Reason, std::move(Summary)});
-}
-
-bool Engine::refuseUnservable(Call &Target, Actions &Out) {
-  auto Usable = std::count_if(
-      Target.Parts.begin(), Target.Parts.end(),
-      [](const Part &Needed) { return hasUsableReplica(*Needed.Pool); });
-  size_t Required =
-      Target.Source->fansOut() ? requiredShards(*Target.Source) : 1;
-  if (static_cast<size_t>(Usable) >= Required) {
-    return false;
-  }
-  this->refuse(Target.Id, {RefusalReason::NoServer, false, NoServerRetryAfter},
-               Out, summarise(Target));
-  this->Calls.erase(Target.Id.Value);
-  return true;
-}
-
 void Engine::onQuarantine(TimePoint Now, base::Fingerprint Content) {
   this->Crashes.quarantine(Now, Content);
 }
 
-void Engine::onCallerGone(TimePoint Now, CallId Id, Actions &Out) {
+void Engine::onCallerGone(CallId Id, Actions &Out) {
   Call *Target = this->find(Id.Value);
   if (Target == nullptr) {
     return;
   }
   ++this->Counters.CallersGone;
   for (uint32_t I = 0; I < Target->Parts.size(); ++I) {
-    this->abandonOthers(Now, *Target, Target->Parts[I], I, Out);
+    this->abandonLive(*Target, I, Out);
   }
   this->Calls.erase(Id.Value);
 }
@@ -206,6 +165,9 @@
 }
 
 void Engine::onProbed(TimePoint Now, ServerKey Probed, bool Reached) {
+  if (!Reached) {
+    this->Crashes.recordUnreachable(Now, Probed);
+  }
   if (Server *Target = this->Servers.find(Probed)) {
     settleProbe(Now, *Target, Reached);
   }
@@ -222,7 +184,7 @@
       Reachable +=
           hasUsableReplica(Pool) && !unreachableUntil(Now, Pool) ? 1 : 0;
     }
-    if (Source.fansOut() && Reachable < requiredShards(Source)) {
+    if (Source.fansOut() && Reachable < requiredParts(Source)) {
       return false;
     }
   }
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -1,9 +1,7 @@
 #include "forward/engine_base.h"
 #include "forward/replica_func.h"
-#include "forward/route_table_func.h"
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 namespace hickorycrank::forward {
@@ -40,10 +38,6 @@
 /** Connections that are left for others, such as an instance just started. */
 constexpr double ConnectionReserve = 0.9;
 
-/** Share of a route's target within which an overloaded shard must be expected
- * to reply to be asked. The rest covers the estimate's error; a shard that is
- * asked in vain delays the requests of all others. */
-constexpr double OverloadShare = 0.85;
 /** Servers drop a fan-out's part that waits for longer than this many targets:
  * by then the answer has usually left without it. */
 constexpr int PartTimeFactor = 2;
@@ -103,56 +97,6 @@
              : this->maxOutstanding(this->Servers.pool(Target->Entry.Service));
 }
 
-bool Engine::leaveOutOverloaded(TimePoint Now, Call &Target, Actions &Out) {
-  if (!Target.Source->fansOut()) {
-    return false;
-  }
-  auto Limit = std::chrono::duration_cast<Duration>(Target.Source->Target *
-                                                    OverloadShare);
-  Duration Usual = this->usualLatency(*Target.Source);
-  std::vector<std::pair<Duration, Part *>> Late;
-  size_t Lost = 0; // Shards that no server can reply for now.
-  TimePoint Back = TimePoint::max();
-  for (Part &Entry : Target.Parts) {
-    if (!hasUsableReplica(*Entry.Pool)) {
-      ++Lost; // Its attempt fails at once.
-      continue;
-    }
-    if (auto Until = unreachableUntil(Now, *Entry.Pool)) {
-      ++Lost;
-      Back = std::min(Back, *Until);
-      Late.emplace_back(Duration::max(), &Entry);
-      continue;
-    }
-    Server *Best = this->choose(Now, Target, Entry, false);
-    Duration Expected =
-        Best == nullptr ? Limit : expectedTime(Now, *Best, Usual);
-    if (Expected > Limit) {
-      Late.emplace_back(Expected, &Entry);
-    }
-  }
-  size_t Spare = Target.Parts.size() - requiredShards(*Target.Source);
-  if (Lost > Spare) {
-    auto Wait = std::chrono::ceil<std::chrono::milliseconds>(Back - Now);
-    this->refuse(Target.Id, {RefusalReason::NoServer, false, Wait}, Out,
-                 summarise(Target));
-    this->Calls.erase(Target.Id.Value);
-    return true;
-  }
-  Spare -= Lost - static_cast<size_t>(std::count_if(
-                      Late.begin(), Late.end(), [](const auto &Entry) {
-                        return Entry.first == Duration::max();
-                      }));
-  std::sort(Late.begin(), Late.end(), std::greater<>());
-  Late.resize(std::min(Late.size(), Spare));
-  for (auto &[Expected, Entry] : Late) {
-    Entry->Phase = PartPhase::Failed;
-    ++Target.Failed;
-    ++this->Counters.ShardsLeftOut;
-  }
-  return false;
-}
-
 Duration Engine::timeForServer(TimePoint Now, const Call &Owner) const {
   Duration Left = Owner.Deadline - Now;
   if (!Owner.Source->fansOut()) {
@@ -299,8 +243,8 @@
   }
 }
 
-void Engine::abandonOthers(TimePoint, Call &Owner, Part &Target, uint32_t Index,
-                           Actions &Out) {
+void Engine::abandonLive(Call &Owner, uint32_t Index, Actions &Out) {
+  Part &Target = Owner.Parts[Index];
   for (uint32_t I = 0; I < Target.Attempts.size(); ++I) {
     Attempt &Entry = Target.Attempts[I];
     if (!Entry.Live) {
@@ -345,7 +289,7 @@
   Target.Phase = PartPhase::Answered;
   Target.Result = std::move(Received);
   ++Owner->Answered;
-  this->abandonOthers(Now, *Owner, Target, Ref.Part, Out);
+  this->abandonLive(*Owner, Ref.Part, Out);
   this->advance(Now, *Owner, Out);
 }
 
@@ -364,7 +308,7 @@
     Target.Error = std::move(Received);
   }
   if (Final) {
-    this->abandonOthers(Now, Owner, Target, Ref.Part, Out);
+    this->abandonLive(Owner, Ref.Part, Out);
     Target.Phase = PartPhase::Failed;
     ++Owner.Failed;
     return;
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -18,7 +18,7 @@
 /** Settings of an engine. */
 struct EngineOptions {
   base::FailureDomainId Domain; ///< Of this instance.
-  ExtraLimits Extra;
+  limits::SharedLimits Extra;
 };
 
 /** What an engine counts; never reset. */
@@ -80,7 +80,9 @@
   void onInstances(size_t Instances);
 
   /** Takes changed limits. @param Extra Limits of extra attempts. */
-  void setExtraLimits(const ExtraLimits &Extra) { this->Options.Extra = Extra; }
+  void setExtraLimits(const limits::SharedLimits &Extra) {
+    this->Options.Extra = Extra;
+  }
 
   /**
    * Takes a caller's request.
@@ -125,11 +127,10 @@
 
   /**
    * Drops a call whose caller has gone.
-   * @param Now Current time.
    * @param Id The call.
    * @param Out Receives actions.
    */
-  void onCallerGone(base::TimePoint Now, CallId Id, Actions &Out);
+  void onCallerGone(CallId Id, Actions &Out);
 
   /**
    * Takes the content of requests that other instances found to crash servers.
@@ -153,7 +154,8 @@
   void probeServers(base::TimePoint Now, Actions &Out);
 
   /**
-   * Takes the result of a probe.
+   * Takes the result of a probe, or of a connection whose attempt was
+   * abandoned while it was opened.
    * @param Now Current time.
    * @param Target The server.
    * @param Reached Whether a connection was opened.
@@ -175,6 +177,8 @@
   const std::shared_ptr<const RouteTable> &routes() const {
     return this->Table;
   }
+  /** @return Routes whose latency was observed. */
+  size_t observedRoutes() const { return this->Latencies.size(); }
   /** @return Calls without a final answer. */
   size_t callsInProgress() const { return this->Calls.size(); }
   /** @return Number of listed servers. */
@@ -192,11 +196,13 @@
     bool operator>(const Wake &Other) const { return this->When > Other.When; }
   };
 
-  // Admission (engine.cpp).
+  // Admission (engine_admission.cpp).
   const std::string &chooseService(const Route &Source);
   void refuse(CallId Id, const Refusal &Reason, Actions &Out,
               CallSummary Summary = {});
-  bool refuseUnservable(Call &Target, Actions &Out);
+  bool admit(base::TimePoint Now, Call &Target, Actions &Out);
+  void leaveOutOverloaded(base::TimePoint Now, Call &Target, size_t Spare);
+  void leaveOut(Call &Target, Part &Which);
   Call *find(uint64_t Id);
 
   // Attempts (engine_attempts.cpp).
@@ -211,18 +217,16 @@
   void hedge(base::TimePoint Now, Call &Owner, uint32_t Index, Actions &Out);
   void retryOrFail(base::TimePoint Now, Call &Owner, uint32_t Index,
                    Actions &Out);
-  void abandonOthers(base::TimePoint Now, Call &Owner, Part &Target,
-                     uint32_t Index, Actions &Out);
+  void abandonLive(Call &Owner, uint32_t Index, Actions &Out);
   void takeError(base::TimePoint Now, Call &Owner, const AttemptRef &Ref,
                  Reply &&Received, Actions &Out);
   uint32_t maxOutstanding(const ServicePool &Pool) const;
-  bool leaveOutOverloaded(base::TimePoint Now, Call &Target, Actions &Out);
   base::Duration timeForServer(base::TimePoint Now, const Call &Owner) const;
 
   // Progress (engine_progress.cpp).
   void advance(base::TimePoint Now, Call &Target, Actions &Out);
   bool concludeIfDone(base::TimePoint Now, Call &Target, Actions &Out);
-  void conclude(base::TimePoint Now, Call &Target, bool TimedOut, Actions &Out);
+  void conclude(Call &Target, bool TimedOut, Actions &Out);
   CallResult buildResult(const Call &Target, bool TimedOut) const;
   CallResult buildFailure(const Call &Target, bool TimedOut) const;
   static CallSummary summarise(const Call &Target);
--- a/src/forward/engine_progress.cpp
+++ b/src/forward/engine_progress.cpp
@@ -53,8 +53,7 @@
 
 bool Engine::concludeIfDone(TimePoint Now, Call &Target, Actions &Out) {
   size_t Total = Target.Parts.size();
-  size_t Required =
-      Target.Source->fansOut() ? requiredShards(*Target.Source) : 1;
+  size_t Required = requiredParts(*Target.Source);
   bool Settled = Target.Answered + Target.Failed == Total;
   bool Hopeless = Total - Target.Failed < Required;
   bool Partial = Target.Answered >= Required && isTimeForPartial(Now, Target);
@@ -62,14 +61,13 @@
   if (!Settled && !Hopeless && !Partial && !TimedOut) {
     return false;
   }
-  this->conclude(Now, Target, TimedOut, Out);
+  this->conclude(Target, TimedOut, Out);
   return true;
 }
 
-void Engine::conclude(TimePoint Now, Call &Target, bool TimedOut,
-                      Actions &Out) {
+void Engine::conclude(Call &Target, bool TimedOut, Actions &Out) {
   for (uint32_t I = 0; I < Target.Parts.size(); ++I) {
-    this->abandonOthers(Now, Target, Target.Parts[I], I, Out);
+    this->abandonLive(Target, I, Out);
   }
   CallResult Result = this->buildResult(Target, TimedOut);
   if (const auto *Reason = std::get_if<Refusal>(&Result)) {
@@ -93,7 +91,7 @@
     }
     return this->buildFailure(Target, TimedOut);
   }
-  if (Target.Answered < requiredShards(Source)) {
+  if (Target.Answered < requiredParts(Source)) {
     return this->buildFailure(Target, TimedOut);
   }
   MergedAnswer Merged;
@@ -155,7 +153,7 @@
   if (Target.Source->fansOut()) {
     TimePoint Early = Target.ArrivedAt + Target.Source->Target - EarlyMargin;
     TimePoint Late = Target.ArrivedAt + Target.Source->Target * LateFactor;
-    bool EarlyDue = Target.Answered >= requiredShards(*Target.Source);
+    bool EarlyDue = Target.Answered >= requiredParts(*Target.Source);
     if (EarlyDue) {
       Next = std::min(Next, Early > Now ? Early : Late);
     }
--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -267,17 +267,17 @@
 
 void settleProbe(TimePoint Now, Server &Target, bool Reached) {
   Target.Probing = false;
-  if (!Target.Unreachable) {
+  if (!Reached) {
+    Target.Unreachable = true;
+    ++Target.Failures;
+    eject(Now, Target);
     return;
   }
-  if (Reached) {
+  if (Target.Unreachable) {
     Target.Unreachable = false;
     Target.Failures = 0;
     Target.EjectedUntil = TimePoint();
-    return;
   }
-  ++Target.Failures;
-  eject(Now, Target);
 }
 
 void recordLoad(TimePoint Now, Server &Target, const LoadReport &Report) {
--- a/src/forward/replica_func.h
+++ b/src/forward/replica_func.h
@@ -93,7 +93,7 @@
                    AttemptOutcome Outcome);
 
 /**
- * Records the result of a probe.
+ * Records whether a connection opened that carries no attempt.
  * @param Now Current time.
  * @param Target The server.
  * @param Reached Whether a connection was opened.
--- a/src/forward/route_table.cpp
+++ b/src/forward/route_table.cpp
@@ -21,7 +21,7 @@
   return Best;
 }
 
-size_t requiredShards(const Route &Source) {
+size_t requiredParts(const Route &Source) {
   // The tolerance keeps 0.9 of 10 shards at 9 in spite of binary fractions.
   constexpr double Tolerance = 1e-9;
   double Exact =
--- a/src/forward/route_table_func.h
+++ b/src/forward/route_table_func.h
@@ -19,11 +19,12 @@
                        std::string_view Target);
 
 /**
- * Counts the shards that an answer needs.
- * @param Source A route that fans out.
- * @return Smallest number of shards whose share is at least MinShardShare.
+ * Counts the services whose replies an answer needs.
+ * @param Source A route.
+ * @return Smallest number of shards whose share is at least MinShardShare; 1
+ *   for a route that does not fan out.
  */
-size_t requiredShards(const Route &Source);
+size_t requiredParts(const Route &Source);
 
 } // namespace hickorycrank::forward
 
--- a/src/forward/route_type.h
+++ b/src/forward/route_type.h
@@ -24,7 +24,6 @@
   std::chrono::milliseconds Timeout{1'000}; ///< Longest time to an answer.
   std::chrono::milliseconds Target{1'000};  ///< Time of a punctual answer.
   uint32_t MaxAttempts = 1; ///< Backend servers per shard and request.
-  uint32_t Priority = 0;    ///< 0 is the most urgent.
   std::vector<WeightedService> Choices; ///< One is chosen for each request.
   std::vector<std::string> Shards;      ///< All are asked, if not empty.
   uint32_t TopK = 0;        ///< Records of an answer merged from shards.
--- a/src/forward/server_set_base.h
+++ b/src/forward/server_set_base.h
@@ -1,8 +1,8 @@
 #ifndef HICKORYCRANK_FORWARD_SERVER_SET_BASE_H
 #define HICKORYCRANK_FORWARD_SERVER_SET_BASE_H
 
-#include "forward/extra_budget_base.h"
 #include "forward/server_type.h"
+#include "limits/shared_budget_base.h"
 
 #include <map>
 #include <memory>
@@ -16,7 +16,7 @@
 struct ServicePool {
   std::vector<Server *> Servers; ///< Those that are listed.
   uint32_t MaxConnections = 8;   ///< Of one server, from all instances.
-  ExtraBudget Budget;
+  limits::SharedBudget Budget;
 };
 
 /**
--- a/src/gen/fleet_types.cpp
+++ b/src/gen/fleet_types.cpp
@@ -26,10 +26,6 @@
   this->control = val;
 }
 
-void Heartbeat::__set_incarnation(const int64_t val) {
-  this->incarnation = val;
-}
-
 void Heartbeat::__set_leaving(const bool val) {
   this->leaving = val;
 }
@@ -78,7 +74,6 @@
 
   bool isset_address = false;
   bool isset_control = false;
-  bool isset_incarnation = false;
   bool isset_leaving = false;
   bool isset_changedAt = false;
   bool isset_storeHealthy = false;
@@ -111,14 +106,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->incarnation);
-          isset_incarnation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->leaving);
@@ -212,8 +199,6 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_control)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_incarnation)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_leaving)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_changedAt)
@@ -244,10 +229,6 @@
   xfer += oprot->writeString(this->control);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->incarnation);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 4);
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
@@ -301,7 +282,6 @@
   using ::std::swap;
   swap(a.address, b.address);
   swap(a.control, b.control);
-  swap(a.incarnation, b.incarnation);
   swap(a.leaving, b.leaving);
   swap(a.changedAt, b.changedAt);
   swap(a.storeHealthy, b.storeHealthy);
@@ -314,7 +294,6 @@
 Heartbeat::Heartbeat(const Heartbeat& other12) {
   address = other12.address;
   control = other12.control;
-  incarnation = other12.incarnation;
   leaving = other12.leaving;
   changedAt = other12.changedAt;
   storeHealthy = other12.storeHealthy;
@@ -326,7 +305,6 @@
 Heartbeat& Heartbeat::operator=(const Heartbeat& other13) {
   address = other13.address;
   control = other13.control;
-  incarnation = other13.incarnation;
   leaving = other13.leaving;
   changedAt = other13.changedAt;
   storeHealthy = other13.storeHealthy;
@@ -341,7 +319,6 @@
   out << "Heartbeat(";
   out << "address=" << to_string(address);
   out << ", " << "control=" << to_string(control);
-  out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "changedAt=" << to_string(changedAt);
   out << ", " << "storeHealthy=" << to_string(storeHealthy);
--- a/src/gen/fleet_types.h
+++ b/src/gen/fleet_types.h
@@ -36,7 +36,6 @@
   Heartbeat() noexcept
             : address(),
               control(),
-              incarnation(0),
               leaving(0),
               changedAt(0),
               storeHealthy(0),
@@ -47,7 +46,6 @@
   virtual ~Heartbeat() noexcept;
   std::string address;
   std::string control;
-  int64_t incarnation;
   bool leaving;
   int64_t changedAt;
   bool storeHealthy;
@@ -60,8 +58,6 @@
 
   void __set_control(const std::string& val);
 
-  void __set_incarnation(const int64_t val);
-
   void __set_leaving(const bool val);
 
   void __set_changedAt(const int64_t val);
@@ -82,8 +78,6 @@
       return false;
     if (!(control == rhs.control))
       return false;
-    if (!(incarnation == rhs.incarnation))
-      return false;
     if (!(leaving == rhs.leaving))
       return false;
     if (!(changedAt == rhs.changedAt))
--- a/src/forward/extra_budget.cpp
+++ b/src/limits/shared_budget.cpp
@@ -1,8 +1,8 @@
-#include "forward/extra_budget_base.h"
+#include "limits/shared_budget_base.h"
 
 #include <algorithm>
 
-namespace hickorycrank::forward {
+namespace hickorycrank::limits {
 
 namespace {
 
@@ -14,12 +14,12 @@
 
 } // namespace
 
-void ExtraBudget::recordRequest(base::TimePoint Now) {
+void SharedBudget::recordRequest(base::TimePoint Now) {
   ++this->current(Now).Requests;
 }
 
-bool ExtraBudget::tryTake(limits::ExtraKind Kind, const ExtraLimits &Limits,
-                          size_t Instances, base::TimePoint Now) {
+bool SharedBudget::tryTake(ExtraKind Kind, const SharedLimits &Limits,
+                           size_t Instances, base::TimePoint Now) {
   Slice &Latest = this->current(Now);
   // One slice more than the window, since the oldest one is cut by its start.
   auto Length = static_cast<int64_t>(Limits.Window / SliceLength) + 1;
@@ -35,7 +35,7 @@
       UsedShare *
       (Limits.Ratio * Requests +
        Limits.Slack / static_cast<double>(std::max<size_t>(1, Instances)));
-  if (Kind == limits::ExtraKind::Hedge) {
+  if (Kind == ExtraKind::Hedge) {
     Allowed *= HedgeShare;
   }
   if (Extras + 1 > Allowed) {
@@ -45,7 +45,7 @@
   return true;
 }
 
-ExtraBudget::Slice &ExtraBudget::current(base::TimePoint Now) {
+SharedBudget::Slice &SharedBudget::current(base::TimePoint Now) {
   int64_t Number = Now.time_since_epoch() / SliceLength;
   Slice &Entry = this->Slices[static_cast<size_t>(Number) % SliceCount];
   if (Entry.Number != Number) {
@@ -54,4 +54,4 @@
   return Entry;
 }
 
-} // namespace hickorycrank::forward
+} // namespace hickorycrank::limits
--- a/src/forward/extra_budget_base.h
+++ b/src/limits/shared_budget_base.h
@@ -1,5 +1,5 @@
-#ifndef HICKORYCRANK_FORWARD_EXTRA_BUDGET_BASE_H
-#define HICKORYCRANK_FORWARD_EXTRA_BUDGET_BASE_H
+#ifndef HICKORYCRANK_LIMITS_SHARED_BUDGET_BASE_H
+#define HICKORYCRANK_LIMITS_SHARED_BUDGET_BASE_H
 
 #include "base/time_type.h"
 #include "limits/retry_budget_base.h"
@@ -7,10 +7,10 @@
 #include <array>
 #include <cstdint>
 
-namespace hickorycrank::forward {
+namespace hickorycrank::limits {
 
 /** Limits of the extra attempts at one service, over all instances. */
-struct ExtraLimits {
+struct SharedLimits {
   double Ratio = 0.1; ///< Extra attempts per request.
   double Slack = 0;   ///< Extra attempts a window beyond the ratio.
   base::Duration Window = std::chrono::seconds(10);
@@ -22,7 +22,7 @@
  * their shares keeps the common limit, because each counts only its own
  * requests and takes an equal part of the slack.
  */
-class ExtraBudget {
+class SharedBudget {
 public:
   /**
    * Counts a request for the service.
@@ -38,8 +38,8 @@
    * @param Now Current time.
    * @return Whether it may be sent; if so it has been counted.
    */
-  bool tryTake(limits::ExtraKind Kind, const ExtraLimits &Limits,
-               size_t Instances, base::TimePoint Now);
+  bool tryTake(ExtraKind Kind, const SharedLimits &Limits, size_t Instances,
+               base::TimePoint Now);
 
 private:
   /** Counters of one part of the window. */
@@ -58,6 +58,6 @@
   std::array<Slice, SliceCount> Slices;
 };
 
-} // namespace hickorycrank::forward
+} // namespace hickorycrank::limits
 
 #endif
--- a/src/net/fleet_codec_func.cpp
+++ b/src/net/fleet_codec_func.cpp
@@ -63,7 +63,6 @@
   gen::Heartbeat Wire;
   Wire.address = Source.Address;
   Wire.control = Source.Control;
-  Wire.incarnation = static_cast<int64_t>(Source.Process.Value);
   Wire.leaving = Source.Leaving;
   Wire.changedAt = static_cast<int64_t>(Source.ChangedAt);
   Wire.storeHealthy = Source.StoreHealthy;
@@ -92,7 +91,6 @@
   fleet::Heartbeat Result;
   Result.Address = Wire.address;
   Result.Control = Wire.control;
-  Result.Process = base::Incarnation(static_cast<uint64_t>(Wire.incarnation));
   Result.Leaving = Wire.leaving;
   Result.ChangedAt = static_cast<uint64_t>(Wire.changedAt);
   Result.StoreHealthy = Wire.storeHealthy;
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -206,9 +206,7 @@
   Taken.NotExecuted = Message.find(Names.NotExecuted) != Message.end();
   Taken.Misdirected = Message.result() == http::status::misdirected_request;
   Taken.Load = parseLoad(Message[Names.ServerLoad]);
-  if (this->Current->Source->PassFields) {
-    Taken.Fields = endToEndFields(Message);
-  }
+  Taken.Fields = endToEndFields(Message);
   Taken.Body = std::move(Message.body());
   return Taken;
 }
@@ -250,6 +248,8 @@
   if (this->Phase == UpstreamPhase::Connecting) {
     forward::AttemptRef Ref = this->Current->Order.Ref;
     this->Current.reset();
+    // Whether it opens still tells whether the server can be reached.
+    this->Probe = true;
     this->Owner.Handlers.OnAbandonedEnd(Ref, this->Server);
     return;
   }
--- a/src/net/upstream_type.h
+++ b/src/net/upstream_type.h
@@ -28,7 +28,6 @@
   /** Without fields of one connection; the framing fields are set. */
   boost::beast::http::request<boost::beast::http::string_body> Message;
   std::string AttemptId;
-  bool PassFields = false; ///< The reply's fields go to the caller.
 };
 
 /** One attempt to be sent. */
@@ -49,7 +48,7 @@
   /** An abandoned attempt ended without a reply, or was never sent. */
   std::function<void(const forward::AttemptRef &, forward::ServerKey)>
       OnAbandonedEnd;
-  /** A probe has opened a connection, or failed to. */
+  /** A connection without an attempt has opened, or failed to. */
   std::function<void(forward::ServerKey, bool Reached)> OnProbed;
 };
 
--- a/tests/forward_engine_test.cpp
+++ b/tests/forward_engine_test.cpp
@@ -257,7 +257,7 @@
   ForwardHarness Test = tenShards();
   auto Id = Test.ask("wide.example", "/wide/x");
   Test.take<forward::SendAttempt>();
-  Test.Engine.onCallerGone(Test.Now, Id, Test.Out);
+  Test.Engine.onCallerGone(Id, Test.Out);
   CHECK(Test.take<forward::AbandonAttempt>().size() == 10);
   Test.pass(2s);
   CHECK(Test.take<forward::SendAttempt>().empty());
--- a/tests/forward_rules_test.cpp
+++ b/tests/forward_rules_test.cpp
@@ -1,9 +1,9 @@
 // Parts of the forwarding engine, each by itself.
 #include "forward/crash_record_base.h"
-#include "forward/extra_budget_base.h"
 #include "forward/merge_func.h"
 #include "forward/replica_func.h"
 #include "forward/route_table_func.h"
+#include "limits/shared_budget_base.h"
 
 #include <array>
 #include <catch2/catch.hpp>
@@ -45,14 +45,14 @@
   forward::Route Wide;
   Wide.Shards.resize(10);
   Wide.MinShardShare = 0.89;
-  CHECK(forward::requiredShards(Wide) == 9);
+  CHECK(forward::requiredParts(Wide) == 9);
   Wide.MinShardShare = 0.9;
-  CHECK(forward::requiredShards(Wide) == 9);
+  CHECK(forward::requiredParts(Wide) == 9);
   Wide.Shards.resize(15);
   Wide.MinShardShare = 0.75;
-  CHECK(forward::requiredShards(Wide) == 12);
+  CHECK(forward::requiredParts(Wide) == 12);
   Wide.MinShardShare = 0;
-  CHECK(forward::requiredShards(Wide) == 1);
+  CHECK(forward::requiredParts(Wide) == 1);
 }
 
 // Guards against records that are dropped as duplicates, compared as signed
@@ -69,17 +69,17 @@
 // Guards against extra attempts of all instances together above the common
 // limit, whatever their number and however the window slides.
 TEST_CASE("instances that share a budget keep its limit", "[forward]") {
-  forward::ExtraLimits Limits{0.2, 54, 10s};
+  limits::SharedLimits Limits{0.2, 54, 10s};
   constexpr size_t Instances = 4;
   constexpr int Steps = 300;
-  std::array<forward::ExtraBudget, Instances> Budgets;
+  std::array<limits::SharedBudget, Instances> Budgets;
   base::TimePoint Now{1h};
   std::vector<uint32_t> Extras;
   std::vector<uint32_t> Requests;
   for (int Step = 0; Step < Steps; ++Step) {
     Extras.push_back(0);
     Requests.push_back(0);
-    for (forward::ExtraBudget &Budget : Budgets) {
+    for (limits::SharedBudget &Budget : Budgets) {
       for (int I = 0; I < 4; ++I) {
         Budget.recordRequest(Now);
         ++Requests.back();
@@ -104,8 +104,8 @@
 
 // Guards against hedges that leave nothing for retries of failed attempts.
 TEST_CASE("hedges leave a reserve for retries", "[forward]") {
-  forward::ExtraLimits Limits{0.2, 0, 10s};
-  forward::ExtraBudget Budget;
+  limits::SharedLimits Limits{0.2, 0, 10s};
+  limits::SharedBudget Budget;
   base::TimePoint Now{1h};
   for (int I = 0; I < 1'000; ++I) {
     Budget.recordRequest(Now);
--- a/thrift/fleet.thrift
+++ b/thrift/fleet.thrift
@@ -6,7 +6,7 @@
 struct Heartbeat {
   1: required string address;       // "IP:port" for datagrams
   2: required string control;       // "IP:port" that serves snapshots
-  3: required i64 incarnation;
+  // 3 was the number of the process.
   4: required bool leaving;
   5: required i64 changedAt;        // revision of the view's last change
   6: required bool storeHealthy;    // the last call to the store succeeded
