Test the gateway over sockets; announce that an instance leaves

A caller that only sends no more lost an answer that was being written; mended by reading, no test.

tests/gateway_test.cpp drives a gateway over loopback through the adapter: merge, unchanged requests, foreign and broken replies, callers that leave, stops, limits. The soak leaves the log of one instance unread in a 4 KiB pipe and checks that it filled up.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import collections
+import fcntl
 import json
 import os
 import random
@@ -83,13 +84,14 @@
 address = "127.0.0.1:{store_port}"
 """)
         self.process = None
+        self.output = None  # A pipe that nobody reads, if set.
         self.stopping = False
         self.harmed_at = 0.0  # Last fault that no planned stop explains.
 
     async def start(self):
         self.process = await asyncio.create_subprocess_exec(
             self.program, "gateway", "--settings", self.settings,
-            stdout=self.log, stderr=self.log)
+            stdout=self.output or self.log, stderr=self.log)
         self.stopping = False
         self.started_at = time.monotonic()
 
@@ -204,6 +206,10 @@
         for index in range(3):
             gateway = Gateway(self.options, index, self.folder,
                               self.store_proxy.port, self.log)
+            if index == 0:
+                # Its log fills a small pipe, which must hold up no request.
+                self.unread, gateway.output = os.pipe()
+                fcntl.fcntl(gateway.output, fcntl.F_SETPIPE_SZ, 4096)
             await gateway.start()
             self.gateways.append(gateway)
         await self.wait_ready()
@@ -410,6 +416,8 @@
         total = sum(v for k, v in calm.items() if k != "partial")
         if good < 0.99 * total or not good:
             self.ledger.fail(f"after the faults {good} of {total} are served")
+        if len(os.read(self.unread, 8192)) < 4000:
+            self.ledger.fail("the unread log has not filled its pipe")
         print(f"seed {self.options.seed}: {len(self.ledger.sent)} requests, "
               f"calm {calm}, {len(self.ledger.violations)} violations")
         return 1 if self.ledger.violations else 0
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -353,8 +353,9 @@
   logEvent(
       LogLevel::Info, "gateway.stopped",
       {{"in_progress", std::to_string(this->Callers.requestsInProgress())}});
-  this->Fleet->announce(Now);
-  std::exchange(this->OnStopped, nullptr)();
+  auto Done = std::exchange(this->OnStopped, nullptr);
+  this->Fleet->announce(Now); // Says that this instance leaves.
+  Done();
 }
 
 void Gateway::reload(const config::GatewaySettings &Changed) {
--- a/src/net/forward_session.cpp
+++ b/src/net/forward_session.cpp
@@ -52,7 +52,10 @@
     return;
   }
   if (Failure) {
-    this->onEnd();
+    // A caller that only sends no more still gets an answer that is ready.
+    if (this->Phase != SessionPhase::Writing) {
+      this->onEnd();
+    }
     return;
   }
   if (this->Phase == SessionPhase::Lingering) {
--- a/tests/forward_engine_test.cpp
+++ b/tests/forward_engine_test.cpp
@@ -13,26 +13,6 @@
 
 namespace {
 
-/** A service of three servers behind one route. */
-ForwardHarness singleService(bool Idempotent) {
-  ForwardHarness Test;
-  Test.publish({ForwardHarness::single(Idempotent)});
-  Test.addReplicas("one");
-  Test.announce();
-  return Test;
-}
-
-/** Ten shards of three servers each behind one route. */
-ForwardHarness tenShards(double MinShare = 0.89) {
-  ForwardHarness Test;
-  Test.publish({ForwardHarness::wide(10, MinShare)});
-  for (size_t I = 0; I < 10; ++I) {
-    Test.addReplicas("s" + std::to_string(I));
-  }
-  Test.announce();
-  return Test;
-}
-
 forward::Reply refusedByServer() {
   forward::Reply Made;
   Made.Status = 503;
@@ -57,7 +37,7 @@
 
 // Guards against an older configuration in force after a newer one.
 TEST_CASE("an older configuration is not taken", "[forward]") {
-  ForwardHarness Test = singleService(true);
+  ForwardHarness Test = ForwardHarness::singleService(true);
   Test.publish({});
   auto Older = std::make_shared<forward::RouteTable>();
   Older->Version = 1;
@@ -71,7 +51,7 @@
 // Guards against a second run of a request that must run at most once.
 TEST_CASE("a request that must not run twice is never sent again",
           "[forward]") {
-  ForwardHarness Test = singleService(false);
+  ForwardHarness Test = ForwardHarness::singleService(false);
   Test.ask("one.example", "/one/x", 4s);
   auto Sent = Test.take<forward::SendAttempt>();
   REQUIRE(Sent.size() == 1);
@@ -87,7 +67,7 @@
 
 // Guards against a lost request that provably has not run.
 TEST_CASE("a request that has not run is sent to another server", "[forward]") {
-  ForwardHarness Test = singleService(false);
+  ForwardHarness Test = ForwardHarness::singleService(false);
   Test.ask("one.example", "/one/x", 4s);
   auto First = Test.take<forward::SendAttempt>();
   REQUIRE(First.size() == 1);
@@ -108,7 +88,7 @@
 // Guards against a refusal that says "not run" of a request that may have run.
 TEST_CASE("a refusal tells truly whether the request may have run",
           "[forward]") {
-  ForwardHarness Test = singleService(false);
+  ForwardHarness Test = ForwardHarness::singleService(false);
   Test.ask("one.example", "/one/x", 300ms);
   for (int I = 0; I < 400; ++I) {
     for (const auto &Sent : Test.take<forward::SendAttempt>()) {
@@ -131,7 +111,7 @@
 // Guards against more servers for one request than its route allows.
 TEST_CASE("a part is sent to no more servers than the route allows",
           "[forward]") {
-  ForwardHarness Test = tenShards(1);
+  ForwardHarness Test = ForwardHarness::tenShards(1);
   Test.ask("wide.example", "/wide/x");
   std::map<uint32_t, std::set<uint64_t>> Servers;
   for (int I = 0; I < 100; ++I) {
@@ -153,7 +133,7 @@
 
 // Guards against a caller that waits for one paused server.
 TEST_CASE("a late shard is asked again at another server", "[forward]") {
-  ForwardHarness Test = tenShards();
+  ForwardHarness Test = ForwardHarness::tenShards();
   Test.ask("wide.example", "/wide/x");
   auto Sent = Test.take<forward::SendAttempt>();
   REQUIRE(Sent.size() == 10);
@@ -179,7 +159,7 @@
 // against one with fewer shards than the route allows.
 TEST_CASE("an answer leaves before its target without the late shards",
           "[forward]") {
-  ForwardHarness Test = tenShards();
+  ForwardHarness Test = ForwardHarness::tenShards();
   Test.ask("wide.example", "/wide/x");
   auto Sent = Test.take<forward::SendAttempt>();
   for (size_t I = 2; I < Sent.size(); ++I) {
@@ -219,7 +199,7 @@
 
 // Guards against new work for a server that is leaving, hedges included.
 TEST_CASE("a leaving server gets no new work", "[forward]") {
-  ForwardHarness Test = singleService(true);
+  ForwardHarness Test = ForwardHarness::singleService(true);
   for (forward::ServerEntry &Entry : Test.Listed) {
     Entry.Leaving = Entry.Id.Value != "one-c";
   }
@@ -236,7 +216,7 @@
 
 // Guards against work at an address that another server has taken over.
 TEST_CASE("a server that is another one is not asked again", "[forward]") {
-  ForwardHarness Test = singleService(true);
+  ForwardHarness Test = ForwardHarness::singleService(true);
   Test.ask("one.example", "/one/x", 4s);
   auto Sent = Test.take<forward::SendAttempt>();
   REQUIRE(Sent.size() == 1);
@@ -254,7 +234,7 @@
 
 // Guards against work for callers that have gone.
 TEST_CASE("the attempts of a caller that has gone are dropped", "[forward]") {
-  ForwardHarness Test = tenShards();
+  ForwardHarness Test = ForwardHarness::tenShards();
   auto Id = Test.ask("wide.example", "/wide/x");
   Test.take<forward::SendAttempt>();
   Test.Engine.onCallerGone(Id, Test.Out);
@@ -266,7 +246,7 @@
 
 // Guards against answers merged from the shards of two configurations.
 TEST_CASE("a call keeps the configuration that it began under", "[forward]") {
-  ForwardHarness Test = tenShards(1);
+  ForwardHarness Test = ForwardHarness::tenShards(1);
   Test.ask("wide.example", "/wide/x");
   auto Sent = Test.take<forward::SendAttempt>();
   forward::Route Newer = ForwardHarness::wide(15, 1);
@@ -288,7 +268,7 @@
 
 // Guards against a request that crashes two servers of every shard.
 TEST_CASE("a fan-out whose attempts all break is not sent again", "[forward]") {
-  ForwardHarness Test = tenShards();
+  ForwardHarness Test = ForwardHarness::tenShards();
   Test.ask("wide.example", "/wide/x");
   auto Sent = Test.take<forward::SendAttempt>();
   REQUIRE(Sent.size() == 10);
@@ -325,7 +305,7 @@
 
 // Guards against a caller that is kept beyond the route's timeout.
 TEST_CASE("an answer comes within the route's timeout", "[forward]") {
-  ForwardHarness Test = singleService(true);
+  ForwardHarness Test = ForwardHarness::singleService(true);
   Test.ask("one.example", "/one/x", 60s);
   Test.pass(3'900ms);
   CHECK(Test.take<forward::RespondCall>().empty());
@@ -334,178 +314,3 @@
   REQUIRE(Final.size() == 1);
   CHECK(ForwardHarness::refusal(Final[0])->Reason == RefusalReason::Timeout);
 }
-
-// Pattern: one shard lost most of its servers and cannot keep up. Guards
-// against a queue there that makes every answer late.
-TEST_CASE("a shard that is overloaded is left out while the share allows it",
-          "[forward]") {
-  ForwardHarness Test = tenShards();
-  // Each of the shard's three servers reports a long queue.
-  for (int I = 0; I < 3; ++I) {
-    Test.ask("wide.example", "/wide/x");
-    Test.pass(10ms);
-    for (const auto &Sent : Test.take<forward::SendAttempt>()) {
-      forward::Reply Received = ForwardHarness::good("sig");
-      if (Sent.Ref.Part == 3) {
-        Received.Load = forward::LoadReport{3, 100, 3};
-      }
-      Test.reply(Sent, Received);
-    }
-  }
-  Test.take<forward::RespondCall>();
-  Test.take<forward::SendAttempt>();
-  Test.ask("wide.example", "/wide/x");
-  auto Sent = Test.take<forward::SendAttempt>();
-  CHECK(Sent.size() == 9);
-  for (const auto &Entry : Sent) {
-    CHECK(Entry.Ref.Part != 3);
-    Test.reply(Entry, ForwardHarness::good("sig"));
-  }
-  auto Final = Test.take<forward::RespondCall>();
-  REQUIRE(Final.size() == 1);
-  REQUIRE(ForwardHarness::merged(Final[0]) != nullptr);
-  CHECK(ForwardHarness::merged(Final[0])->Missing == 1);
-  // The estimate fades, so that the shard is asked again.
-  Test.pass(1s);
-  Test.ask("wide.example", "/wide/x");
-  CHECK(Test.take<forward::SendAttempt>().size() == 10);
-}
-
-// Pattern: all shards are slow. Guards against hedges that add to the load
-// which made the first attempts late.
-TEST_CASE("a hedge is not sent to a server without a free slot", "[forward]") {
-  ForwardHarness Test = tenShards();
-  Test.ask("wide.example", "/wide/x");
-  for (const auto &Sent : Test.take<forward::SendAttempt>()) {
-    forward::Reply Busy = ForwardHarness::good("sig");
-    Busy.Load = forward::LoadReport{3, 2, 3};
-    Test.reply(Sent, Busy);
-  }
-  for (int I = 0; I < 30; ++I) {
-    Test.ask("wide.example", "/wide/x");
-  }
-  CHECK(Test.take<forward::SendAttempt>().size() > 200);
-  Test.pass(60ms);
-  CHECK(Test.Engine.counters().Hedges == 0);
-}
-
-// Pattern: all servers of one shard are down while others are slow. Guards
-// against using up the missing shards that an answer may have on a shard that
-// would reply.
-TEST_CASE("an unreachable shard is left out before an overloaded one",
-          "[forward]") {
-  ForwardHarness Test = tenShards();
-  for (int I = 0; I < 3; ++I) {
-    Test.ask("wide.example", "/wide/x");
-    for (int Round = 0; Round < 4; ++Round) {
-      for (const auto &Sent : Test.take<forward::SendAttempt>()) {
-        if (Sent.Ref.Part == 5) {
-          Test.fail(Sent, AttemptFailure::NotSent);
-          continue;
-        }
-        forward::Reply Received = ForwardHarness::good("sig");
-        if (Sent.Ref.Part == 3) {
-          Received.Load = forward::LoadReport{3, 100, 3};
-        }
-        Test.reply(Sent, Received);
-      }
-    }
-  }
-  Test.take<forward::RespondCall>();
-  Test.ask("wide.example", "/wide/x");
-  auto Sent = Test.take<forward::SendAttempt>();
-  CHECK(Sent.size() == 9);
-  for (const auto &Entry : Sent) {
-    CHECK(Entry.Ref.Part != 5);
-  }
-}
-
-// Pattern: two shards of ten are down and only one may be missing. Guards
-// against work on the other shards, and a wait, for an answer that cannot be
-// given; after a while the servers are tried again.
-TEST_CASE("a fan-out with too many unreachable shards is refused at once",
-          "[forward]") {
-  ForwardHarness Test = tenShards();
-  for (int I = 0; I < 3; ++I) {
-    Test.ask("wide.example", "/wide/x");
-    for (int Round = 0; Round < 4; ++Round) {
-      for (const auto &Sent : Test.take<forward::SendAttempt>()) {
-        if (Sent.Ref.Part < 2) {
-          Test.fail(Sent, AttemptFailure::NotSent);
-        }
-      }
-    }
-  }
-  Test.take<forward::RespondCall>();
-  Test.ask("wide.example", "/wide/x");
-  CHECK(Test.take<forward::SendAttempt>().empty());
-  auto Final = Test.take<forward::RespondCall>();
-  REQUIRE(Final.size() == 1);
-  REQUIRE(ForwardHarness::refusal(Final[0]) != nullptr);
-  CHECK(ForwardHarness::refusal(Final[0])->Reason == RefusalReason::NoServer);
-  CHECK_FALSE(ForwardHarness::refusal(Final[0])->MayHaveRun);
-  REQUIRE(ForwardHarness::refusal(Final[0])->RetryAfter);
-  Test.pass(*ForwardHarness::refusal(Final[0])->RetryAfter + 1ms);
-  Test.take<forward::SendAttempt>(); // Hedges of the calls before.
-  Test.Engine.probeServers(Test.Now, Test.Out);
-  for (const auto &Probe : Test.take<forward::ProbeConnection>()) {
-    Test.Engine.onProbed(Test.Now, Probe.Server, true);
-  }
-  Test.ask("wide.example", "/wide/x");
-  CHECK(Test.take<forward::SendAttempt>().size() >= 9);
-}
-
-// Pattern: a failure domain is cut off, and a third of the servers cannot be
-// reached. Guards against requests that wait for connections which never open.
-TEST_CASE("a server that cannot be reached is probed without a request",
-          "[forward]") {
-  ForwardHarness Test = singleService(true);
-  Test.ask("one.example", "/one/x", 4s);
-  auto Sent = Test.take<forward::SendAttempt>();
-  REQUIRE(Sent.size() == 1);
-  Test.fail(Sent[0], AttemptFailure::NotSent);
-  forward::ServerKey Lost = Sent[0].Server;
-  Test.take<forward::SendAttempt>();
-  int Probes = 0;
-  for (int I = 0; I < 100; ++I) {
-    Test.pass(50ms);
-    Test.ask("one.example", "/one/x", 4s);
-    for (const auto &More : Test.take<forward::SendAttempt>()) {
-      CHECK(More.Server != Lost);
-      Test.reply(More, ForwardHarness::good("sig"));
-    }
-    Test.Engine.probeServers(Test.Now, Test.Out);
-    for (const auto &Probe : Test.take<forward::ProbeConnection>()) {
-      CHECK(Probe.Server == Lost);
-      ++Probes;
-      Test.Engine.onProbed(Test.Now, Lost, false);
-    }
-  }
-  CHECK(Probes >= 3);
-  CHECK(Probes <= 8);
-  Test.Engine.onProbed(Test.Now, Lost, true);
-  Test.Engine.probeServers(Test.Now, Test.Out);
-  CHECK(Test.take<forward::ProbeConnection>().empty());
-  Test.ask("one.example", "/one/x", 4s);
-  auto Back = Test.take<forward::SendAttempt>();
-  REQUIRE(Back.size() == 1);
-  CHECK(Back[0].Server == Lost);
-}
-
-// Guards against an instance that stays in rotation while it is cut off from
-// the shards that its routes need.
-TEST_CASE("an instance knows whether it reaches enough shards", "[forward]") {
-  ForwardHarness Test = tenShards();
-  CHECK(Test.Engine.canReachShards(Test.Now));
-  for (int I = 0; I < 3; ++I) {
-    Test.ask("wide.example", "/wide/x");
-    for (int Round = 0; Round < 4; ++Round) {
-      for (const auto &Sent : Test.take<forward::SendAttempt>()) {
-        if (Sent.Ref.Part < 2) {
-          Test.fail(Sent, AttemptFailure::NotSent);
-        }
-      }
-    }
-  }
-  CHECK_FALSE(Test.Engine.canReachShards(Test.Now));
-}
--- a/tests/forward_harness.h
+++ b/tests/forward_harness.h
@@ -158,6 +158,26 @@
     return std::get_if<forward::MergedAnswer>(&Final.Result);
   }
 
+  /** @return An engine with a service of three servers behind one route. */
+  static ForwardHarness singleService(bool Idempotent) {
+    ForwardHarness Test;
+    Test.publish({single(Idempotent)});
+    Test.addReplicas("one");
+    Test.announce();
+    return Test;
+  }
+
+  /** @return An engine with ten shards of three servers behind one route. */
+  static ForwardHarness tenShards(double MinShare = 0.89) {
+    ForwardHarness Test;
+    Test.publish({wide(10, MinShare)});
+    for (size_t I = 0; I < 10; ++I) {
+      Test.addReplicas("s" + std::to_string(I));
+    }
+    Test.announce();
+    return Test;
+  }
+
   forward::Engine Engine;
   base::TimePoint Now{std::chrono::hours(1)};
   forward::Actions Out;
--- a/tests/forward_findings_test.cpp
+++ b/tests/forward_memory_test.cpp
@@ -1,6 +1,5 @@
-// Faults that a review of the forwarding engine found, each on virtual time.
+// What forward::Engine learns and forgets about servers, content and routes.
 #include "forward_harness.h"
-#include "platform/dialect_func.h"
 
 #include <catch2/catch.hpp>
 
@@ -10,23 +9,11 @@
 using forward::AttemptFailure;
 using forward::RefusalReason;
 
-namespace {
-
-ForwardHarness singleService() {
-  ForwardHarness Test;
-  Test.publish({ForwardHarness::single(true)});
-  Test.addReplicas("one");
-  Test.announce();
-  return Test;
-}
-
-} // namespace
-
 // Pattern: a failure domain is cut off, and hedges win before a connection
 // fails. Guards against choosing a server again whose connection never opened.
 TEST_CASE("a connection that fails after its attempt was abandoned counts",
           "[forward]") {
-  ForwardHarness Test = singleService();
+  ForwardHarness Test = ForwardHarness::singleService(true);
   Test.ask("one.example", "/one/x", 4s);
   auto Sent = Test.take<forward::SendAttempt>();
   REQUIRE(Sent.size() == 1);
@@ -43,7 +30,7 @@
 // Guards against content that goes on crashing servers because only requests,
 // and not probes, found the crashed ones unreachable.
 TEST_CASE("a probe that fails confirms a crash", "[forward]") {
-  ForwardHarness Test = singleService();
+  ForwardHarness Test = ForwardHarness::singleService(true);
   for (int Call = 0; Call < 2; ++Call) {
     Test.ask("one.example", "/one/x", 4s, 77);
     auto Sent = Test.take<forward::SendAttempt>();
@@ -65,7 +52,7 @@
 
 // Guards against memory that grows with each route that is renamed.
 TEST_CASE("what was learnt of a removed route is forgotten", "[forward]") {
-  ForwardHarness Test = singleService();
+  ForwardHarness Test = ForwardHarness::singleService(true);
   for (int I = 0; I < 20; ++I) {
     forward::Route Renamed = ForwardHarness::single(true);
     Renamed.Name = "renamed-" + std::to_string(I);
@@ -77,16 +64,3 @@
   }
   CHECK(Test.Engine.observedRoutes() == 1);
 }
-
-// Guards against a value of another writer that is taken although it is not
-// encoded as the store's values are.
-TEST_CASE("a value that is not base64 names no server", "[platform]") {
-  auto Store = platform::makeStoreDialect();
-  auto Page = Store.DecodePage(
-      R"({"items":[{"key":"servers/i-1","revision":5,"value":
-          "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\",\"slots\":3,\"state\":\"ready\",\"cold-remaining-ms\":0}"}],
-          "has-more":false,"as-of":9})");
-  REQUIRE(Page);
-  REQUIRE(Page.value().Items.size() == 1);
-  CHECK_FALSE(Store.DecodeServer(Page.value().Items[0]));
-}
--- /dev/null
+++ b/tests/gateway_test.cpp
@@ -0,0 +1,377 @@
+// A gateway over loopback sockets, through the platform's adapter.
+#include "config/settings_func.h"
+#include "daemon/gateway_base.h"
+#include "net/fleet_codec_func.h"
+#include "platform/dialect_func.h"
+#include "scripted_server.h"
+
+#include <array>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+#include <optional>
+#include <vector>
+
+using namespace hickorycrank;
+using namespace hickorycrank::tests;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+
+namespace {
+
+const std::string AttemptField = "X-Hickorycrank-Attempt-Id";
+
+/** @return A reply with a signature and the echo of the attempt. */
+std::string reply(const std::string &Attempt, const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\n" + AttemptField + ": " + Attempt +
+         "\r\nX-Hickorycrank-Response-Signature: sig." + Attempt +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+/** @return Standard base64 of a text. */
+std::string encode(const std::string &Text) {
+  static const char *Signs =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string Out;
+  for (size_t I = 0; I < Text.size(); I += 3) {
+    uint32_t Group = 0;
+    for (size_t J = 0; J < 3; ++J) {
+      Group = Group << 8U |
+              (I + J < Text.size() ? static_cast<uint8_t>(Text[I + J]) : 0U);
+    }
+    for (size_t J = 0; J < 4; ++J) {
+      bool Pad = I + J > Text.size();
+      Out += Pad ? '=' : Signs[Group >> (18 - 6 * J) & 63U];
+    }
+  }
+  return Out;
+}
+
+/** A store that lists what it was given and never changes. */
+class FixedStore {
+public:
+  void add(const std::string &Key, const std::string &Value) {
+    this->Items.push_back(boost::json::object{
+        {"key", Key}, {"value", encode(Value)}, {"revision", 5}});
+  }
+
+  void addServer(const std::string &Id, const std::string &Service,
+                 const std::string &Address) {
+    this->add("servers/" + Id,
+              R"({"service":")" + Service + R"(","address":")" + Address +
+                  R"(","zone":"a","slots":3,"state":"ready",)" +
+                  R"("cold-remaining-ms":0,"born":1})");
+  }
+
+  ScriptedReply answer(const std::string &Head) const {
+    boost::json::object Body{{"as-of", 5}};
+    if (Head.find("/kv-range") != std::string::npos) {
+      Body["items"] = this->Items;
+      Body["has-more"] = false;
+    } else {
+      std::this_thread::sleep_for(100ms);
+      Body["events"] = boost::json::array();
+    }
+    std::string Text = boost::json::serialize(Body);
+    return {"HTTP/1.1 200 OK\r\nContent-Length: " +
+            std::to_string(Text.size()) + "\r\n\r\n" + Text};
+  }
+
+private:
+  boost::json::array Items;
+};
+
+const char *const Routes = R"({"version":7,"routes":[
+  {"name":"wide","host":"w.example","prefix":"/w/","kind":"safe",
+   "timeout-ms":1500,"target-latency-ms":400,"gather":["s0","s1"],
+   "max-attempts":2,"top-k":2,"min-shard-fraction":0.5},
+  {"name":"once","host":"o.example","prefix":"/o/","kind":"unsafe",
+   "timeout-ms":3000,"target-latency-ms":600,"service":"s0",
+   "max-attempts":2}],
+  "services":[],"limits":{"max-header-bytes":4096,"max-body-bytes":1000,
+  "header-timeout-ms":3000,"idle-timeout-ms":15000}})";
+
+/** A gateway with its own thread, before a store and two services. */
+class GatewayRig {
+public:
+  GatewayRig(ScriptedServer::Script First, ScriptedServer::Script Second)
+      : S0(std::move(First)), S1(std::move(Second)),
+        Platform([this](const std::string &Head) {
+          return this->Store.answer(Head);
+        }),
+        Work(boost::asio::make_work_guard(this->Context)) {
+    this->Store.add("op/config", Routes);
+    this->Store.addServer("i-0", "s0", this->S0.address());
+    this->Store.addServer("i-1", "s1", this->S1.address());
+    config::GatewaySettings Own;
+    Own.Domain = base::FailureDomainId("a");
+    Own.Store = *config::parseEndpoint(this->Platform.address());
+    Own.Extra = {0.2, 50, 10s};
+    Own.Grace = 6s;
+    // Instances differ by IP number and share the port.
+    Own.Heartbeats.Port = this->Peer.local_endpoint().port();
+    Own.Seeds = {{"127.0.0.2", 1}};
+    this->Running = std::make_shared<daemon::Gateway>(this->Context, Own,
+                                                      platform::makeDialect());
+    this->Running->start();
+    this->Thread = std::thread([this] { this->Context.run(); });
+    this->awaitReady();
+  }
+
+  ~GatewayRig() {
+    this->Work.reset();
+    this->Context.stop();
+    this->Thread.join();
+    this->Running.reset();
+  }
+
+  GatewayRig(const GatewayRig &) = delete;
+  GatewayRig &operator=(const GatewayRig &) = delete;
+
+  /** Calls a function on the gateway's thread. */
+  template <typename Function> auto ask(Function Call) {
+    std::packaged_task<decltype(Call(*this->Running))()> Task(
+        [&] { return Call(*this->Running); });
+    auto Result = Task.get_future();
+    boost::asio::post(this->Context, [&Task] { Task(); });
+    return Result.get();
+  }
+
+  /** Waits until the gateway has read the store. */
+  void awaitReady() {
+    auto IsReady = [](daemon::Gateway &Target) { return Target.isReady(); };
+    for (int I = 0; I < 200 && !this->ask(IsReady); ++I) {
+      std::this_thread::sleep_for(20ms);
+    }
+  }
+
+  /** Opens a connection to the gateway and writes bytes. */
+  tcp::socket send(const std::string &Bytes) {
+    auto Where =
+        this->ask([](daemon::Gateway &Target) { return Target.callers(); });
+    tcp::socket Open(this->Client);
+    Open.connect({boost::asio::ip::make_address(Where.Address), Where.Port});
+    boost::asio::write(Open, boost::asio::buffer(Bytes));
+    return Open;
+  }
+
+  /** Reads one response; empty if the connection ends before it. */
+  static std::string receive(tcp::socket &Open) {
+    std::string Text;
+    boost::system::error_code Failure;
+    size_t Head = boost::asio::read_until(
+        Open, boost::asio::dynamic_buffer(Text), "\r\n\r\n", Failure);
+    if (Failure) {
+      return "";
+    }
+    std::string Length = fieldOf(Text.substr(0, Head), "Content-Length");
+    size_t Whole = Head + (Length.empty() ? 0 : std::stoul(Length));
+    if (Text.size() < Whole) {
+      boost::asio::read(Open, boost::asio::dynamic_buffer(Text),
+                        boost::asio::transfer_exactly(Whole - Text.size()),
+                        Failure);
+    }
+    return Failure ? "" : Text;
+  }
+
+  /** @return Whether a heartbeat has told the peer that this one leaves. */
+  bool peerHeardLeave() {
+    std::array<char, 4096> Datagram{};
+    boost::system::error_code Failure;
+    this->Peer.non_blocking(true);
+    while (true) {
+      size_t Count =
+          this->Peer.receive(boost::asio::buffer(Datagram), 0, Failure);
+      if (Failure) {
+        return false;
+      }
+      auto Heard = net::decodeHeartbeat({Datagram.data(), Count});
+      if (Heard && Heard.value().Leaving) {
+        return true;
+      }
+    }
+  }
+
+  FixedStore Store;
+  ScriptedServer S0;
+  ScriptedServer S1;
+
+private:
+  ScriptedServer Platform;
+  boost::asio::io_context Context;
+  boost::asio::io_context Client;
+  boost::asio::ip::udp::socket Peer{
+      this->Client, {boost::asio::ip::make_address("127.0.0.2"), 0}};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
+  std::shared_ptr<daemon::Gateway> Running;
+  std::thread Thread;
+};
+
+std::string wide(const std::string &Attempt) {
+  return "GET /w/x?q=1 HTTP/1.1\r\nHost: w.example\r\n" + AttemptField + ": " +
+         Attempt + "\r\nX-Hickorycrank-Timeout-Remaining: 2000\r\n\r\n";
+}
+
+std::string once(const std::string &Attempt) {
+  return "GET /o/x HTTP/1.1\r\nHost: o.example\r\n" + AttemptField + ": " +
+         Attempt + "\r\nX-Hickorycrank-Timeout-Remaining: 2000\r\n\r\n";
+}
+
+/** Answers with a record of 16 equal bytes. */
+ScriptedServer::Script shard(char Sign) {
+  return [Sign](const std::string &Head) {
+    return ScriptedReply{
+        reply(fieldOf(Head, AttemptField), std::string(16, Sign))};
+  };
+}
+
+} // namespace
+
+// Guards against a request that is changed on its way, and an answer that is
+// not the merge of the parts that it names.
+TEST_CASE("a fan-out is merged over real connections", "[gateway]") {
+  std::mutex Mutex;
+  std::string Seen;
+  GatewayRig Test(
+      [&](const std::string &Head) {
+        std::lock_guard Lock(Mutex);
+        Seen = Head;
+        return shard('a')(Head);
+      },
+      shard('b'));
+  auto Open = Test.send(wide("id1"));
+  std::string Answer = GatewayRig::receive(Open);
+  CHECK(Answer.starts_with("HTTP/1.1 200"));
+  CHECK(fieldOf(Answer, "X-Hickorycrank-Part-Signatures") ==
+        "sig.id1, sig.id1");
+  CHECK(fieldOf(Answer, "X-Hickorycrank-Missing-Parts") == "0");
+  CHECK(Answer.ends_with(std::string(16, 'b') + std::string(16, 'a')));
+  std::lock_guard Lock(Mutex);
+  CHECK(Seen.starts_with("GET /w/x?q=1 HTTP/1.1\r\n"));
+  CHECK(fieldOf(Seen, "Host") == "w.example");
+  CHECK(fieldOf(Seen, "X-Hickorycrank-Expected-Instance") == "i-0");
+  CHECK(std::stoi(fieldOf(Seen, "X-Hickorycrank-Timeout-Remaining")) <= 2000);
+}
+
+// Guards against the second reply of a server as the answer of the next caller
+// on the same connection.
+TEST_CASE("a reply to another attempt reaches no caller", "[gateway]") {
+  std::atomic<int> Calls{0};
+  GatewayRig Test(
+      [&](const std::string &Head) {
+        std::string Own = reply(fieldOf(Head, AttemptField), "own");
+        // The first reply of another attempt comes late, in front of the
+        // reply of the next one.
+        return ScriptedReply{++Calls == 2 ? reply("id1", "late") + Own : Own};
+      },
+      shard('b'));
+  for (const char *Attempt : {"id1", "id2", "id3"}) {
+    auto Open = Test.send(once(Attempt));
+    std::string Answer = GatewayRig::receive(Open);
+    CHECK(Answer.starts_with("HTTP/1.1 200"));
+    CHECK(fieldOf(Answer, AttemptField) == Attempt);
+    CHECK(Answer.ends_with("own"));
+  }
+}
+
+// Guards against a truncated reply that looks complete, and against a second
+// run of a request whose outcome is unknown.
+TEST_CASE("a reply that breaks off is a failure and nothing is repeated",
+          "[gateway]") {
+  std::atomic<int> Calls{0};
+  GatewayRig Test(
+      [&](const std::string &Head) {
+        ++Calls;
+        std::string Whole = reply(fieldOf(Head, AttemptField), "whole body");
+        return ScriptedReply{Whole.substr(0, Whole.size() - 3), true};
+      },
+      shard('b'));
+  auto Open = Test.send(once("id1"));
+  CHECK(GatewayRig::receive(Open).starts_with("HTTP/1.1 502"));
+  CHECK(Calls == 1);
+}
+
+// Guards against work for a caller that has gone.
+TEST_CASE("a caller that leaves ends the work of its servers", "[gateway]") {
+  std::atomic<int> Calls{0};
+  GatewayRig Test(
+      [&](const std::string &Head) {
+        ++Calls;
+        std::this_thread::sleep_for(1500ms);
+        return shard('a')(Head);
+      },
+      shard('b'));
+  {
+    auto Open = Test.send(once("id1"));
+    for (int I = 0; I < 100 && Calls == 0; ++I) {
+      std::this_thread::sleep_for(10ms);
+    }
+    REQUIRE(Calls == 1);
+  }
+  // The server is in its script and sees the close at its next read; the
+  // gateway's own state tells when it has closed the connection.
+  std::string Metrics;
+  for (int I = 0; I < 100; ++I) {
+    Metrics = Test.ask(
+        [](daemon::Gateway &Target) { return Target.renderMetrics(); });
+    if (Metrics.find("hickorycrank_abandoned_closed_total 1") !=
+        std::string::npos) {
+      break;
+    }
+    std::this_thread::sleep_for(5ms);
+  }
+  CHECK(Metrics.find("hickorycrank_abandoned_closed_total 1") !=
+        std::string::npos);
+  CHECK(Metrics.find("hickorycrank_callers_gone_total 1") != std::string::npos);
+}
+
+// Guards against a planned stop that cuts a request off, against an instance
+// that stays in rotation while it stops, and against peers that share budgets
+// and connections with one that has left.
+TEST_CASE("a stop lets requests in progress finish", "[gateway]") {
+  GatewayRig Test(
+      [](const std::string &Head) {
+        std::this_thread::sleep_for(400ms);
+        return shard('a')(Head);
+      },
+      shard('b'));
+  auto Open = Test.send(once("id1"));
+  std::this_thread::sleep_for(100ms);
+  std::promise<void> Stopped;
+  Test.ask([&](daemon::Gateway &Target) {
+    Target.stop([&] { Stopped.set_value(); });
+    return 0;
+  });
+  CHECK_FALSE(
+      Test.ask([](daemon::Gateway &Target) { return Target.isReady(); }));
+  // The balancer still sends callers for a while; each is served.
+  auto Late = Test.send(once("id2"));
+  std::string Answer = GatewayRig::receive(Open);
+  CHECK(Answer.starts_with("HTTP/1.1 200"));
+  CHECK(fieldOf(Answer, "Connection") == "close");
+  CHECK(GatewayRig::receive(Late).starts_with("HTTP/1.1 200"));
+  CHECK(Stopped.get_future().wait_for(6s) == std::future_status::ready);
+  CHECK(Test.peerHeardLeave());
+}
+
+// Guards against limits of the configuration that are not in force, and
+// against a 404 of a route that exists.
+TEST_CASE("callers' limits and unknown routes are answered exactly",
+          "[gateway]") {
+  GatewayRig Test(shard('a'), shard('b'));
+  auto Unknown = Test.send("GET /z HTTP/1.1\r\nHost: w.example\r\n\r\n");
+  CHECK(GatewayRig::receive(Unknown).starts_with("HTTP/1.1 404"));
+  auto Body = Test.send("POST /o/x HTTP/1.1\r\nHost: o.example\r\n"
+                        "Content-Length: 5000\r\n\r\n");
+  CHECK(GatewayRig::receive(Body).starts_with("HTTP/1.1 413"));
+  auto Head = Test.send("GET /o/x HTTP/1.1\r\nHost: o.example\r\nX: " +
+                        std::string(6'000, 'x') + "\r\n\r\n");
+  CHECK(GatewayRig::receive(Head).starts_with("HTTP/1.1 431"));
+  auto Broken = Test.send("no HTTP\r\n\r\n");
+  CHECK(GatewayRig::receive(Broken).starts_with("HTTP/1.1 400"));
+}
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -83,6 +83,19 @@
   CHECK_FALSE(Store.DecodeServer(server("")));
 }
 
+// Guards against a value of another writer that is taken although it is not
+// encoded as the store's values are.
+TEST_CASE("a value that is not base64 names no server", "[platform]") {
+  auto Store = platform::makeStoreDialect();
+  auto Page = Store.DecodePage(
+      R"({"items":[{"key":"servers/i-1","revision":5,"value":
+          "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\",\"slots\":3,\"state\":\"ready\",\"cold-remaining-ms\":0}"}],
+          "has-more":false,"as-of":9})");
+  REQUIRE(Page);
+  REQUIRE(Page.value().Items.size() == 1);
+  CHECK_FALSE(Store.DecodeServer(Page.value().Items[0]));
+}
+
 // Guards against a listing that stops at an item that is not understood.
 TEST_CASE("pages and watches of the store are decoded", "[platform]") {
   auto Store = platform::makeStoreDialect();
