--- a/src/forward/engine_admission.cpp
+++ b/src/forward/engine_admission.cpp
@@ -29,11 +29,11 @@
   // Smooth weighted round-robin keeps each share exact over short spans.
   auto &Shares = this->Turns[Source.Name];
   double Total = 0;
-  const WeightedService *Best = nullptr;
+  const WeightedService *Best = &Source.Choices.front();
   for (const WeightedService &Choice : Source.Choices) {
     Total += Choice.Weight;
     Shares[Choice.Service] += Choice.Weight;
-    if (Best == nullptr || Shares[Choice.Service] > Shares[Best->Service]) {
+    if (Shares[Choice.Service] > Shares[Best->Service]) {
       Best = &Choice;
     }
   }
