Notice soon a watch that the returned store swallows

A watch that began while the store was silent was never answered after its return, and the reader waited the whole watch of 5 s and 1.2 s more before it asked again.

Ruled out: a wrong check (the store had been back for more than the 4 s that the soak allows); slow instances (the log shows 'store.lost' 6.2 s after 'store.reading', with nothing in between).

The soak takes its addresses from its process id, so that one seed may run several times side by side.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -60,8 +60,8 @@
 
     def __init__(self, options, index, folder, store_port, log):
         self.program, self.log = options.program, log
-        # Runs with different seeds may go side by side.
-        network = f"127.{20 + options.seed % 200}.7"
+        # Several runs, also of one seed, may go side by side.
+        network = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
         self.ip = f"{network}.{index + 1}"
         self.settings = os.path.join(folder, f"settings-{index}.toml")
         seeds = ", ".join(f'"{network}.{i + 1}:{CONTROL}"' for i in range(3))
--- a/src/daemon/store_reader.cpp
+++ b/src/daemon/store_reader.cpp
@@ -15,6 +15,9 @@
 /** Time that a watch waits. A lost answer is noticed after it; shorter watches
  * cost more calls, which are limited and priced. */
 constexpr std::chrono::milliseconds WatchWait(5'000);
+/** The same soon after a failure: a store that has just returned may never
+ * answer a call from its outage, and changes wait until that is noticed. */
+constexpr std::chrono::milliseconds WatchWaitAfterFailure(500);
 /** Time for an answer beyond the time that the store is asked to wait. */
 constexpr Duration AnswerTimeout = std::chrono::milliseconds(1'200);
 /** Time after a change in which further ones are gathered into one answer: a
@@ -104,9 +107,10 @@
 }
 
 void StoreReader::watch() {
+  bool Settled = Clock::now() - this->LastTrouble >= StableTime;
+  std::chrono::milliseconds Wait = Settled ? WatchWait : WatchWaitAfterFailure;
   this->ask(
-      this->Dialect.WatchTarget(this->Revision, WatchWait),
-      WatchWait + AnswerTimeout,
+      this->Dialect.WatchTarget(this->Revision, Wait), Wait + AnswerTimeout,
       [this](const net::HttpResponse &Response) { this->onWatch(Response); });
 }
 
