Wait briefly only for watches that nothing has proven yet

Cause: the short watches after a failure also followed each start of a reader, for 3 s, and each call to the store has a price.

A reader now waits 0.5 s for its first call and within 3 s of a failed one, and 5 s otherwise.

--- /dev/null
+++ b/soak/mutants.py
@@ -0,0 +1,94 @@
+#!/usr/bin/env python3
+"""Shows that the soak finds faults: takes one rule out of the product at a
+time, in a copy of the sources, and names the seeds that catch it.
+
+soak/mutants.py FOLDER SEED...   FOLDER receives the copy and its build.
+"""
+import os
+import subprocess
+import sys
+
+# Name, file, text that carries the rule, text without it.
+MUTANTS = [
+    ("echo of the attempt is not checked", "src/net/upstream_connection.cpp",
+     "  return Echo != Received.get().end() &&\n",
+     "  return false && Echo != Received.get().end() &&\n"),
+    ("non-idempotent requests are repeated", "src/forward/engine_attempts.cpp",
+     "MayRepeat = Owner.Source->Idempotent || Target.PossiblyRun == 0;",
+     "MayRepeat = true || Owner.Source->Idempotent;"),
+    ("leaving servers get work", "src/forward/replica.cpp",
+     "return !Target.Entry.Leaving && !Target.Misdirected;",
+     "return !Target.Misdirected;"),
+    ("refusals say not run", "src/forward/engine_progress.cpp",
+     "[](const Part &Entry) { return Entry.PossiblyRun > 0; }",
+     "[](const Part &) { return false; }"),
+    ("merged records are not ordered", "src/forward/merge.cpp",
+     "std::greater<>()", "std::less<>()"),
+    ("a stop ends requests in progress", "src/daemon/gateway.cpp",
+     "  if (Now < this->CloseAt) {\n    return;\n  }\n", ""),
+    ("log lines wait for their reader", "src/daemon/log_func.cpp",
+     "Flags | O_NONBLOCK", "Flags & ~O_NONBLOCK"),
+    ("a failed store is not read again", "src/daemon/store_reader.cpp",
+     "  this->LastKey.clear();\n  this->retryLater();\n",
+     "  this->LastKey.clear();\n"),
+]
+SECONDS = "10"
+JOBS = 3
+
+
+def build(folder):
+    """Builds the program of the copy."""
+    subprocess.run(["ninja", "-C", os.path.join(folder, "build"),
+                    "src/hickorycrank"], check=True, stdout=subprocess.DEVNULL)
+
+
+def catchers(folder, seeds):
+    """Returns {seed: first violation} of the copy's program."""
+    program = os.path.join(folder, "build", "src", "hickorycrank")
+    caught = {}
+    while seeds:
+        group, seeds = seeds[:JOBS], seeds[JOBS:]
+        runs = [(seed, subprocess.Popen(
+            [sys.executable, "soak/soak.py", "--program", program, "--seed",
+             seed, "--seconds", SECONDS], text=True, stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL)) for seed in group]
+        for seed, run in runs:
+            output = run.communicate()[0]
+            if run.returncode != 0:
+                found = [line for line in output.splitlines()
+                         if line.startswith("VIOLATION")]
+                caught[seed] = (found or ["ended with an error"])[0]
+    return caught
+
+
+def main():
+    """Prints one line for each mutant; exit code 1: one was not caught."""
+    folder, seeds = sys.argv[1], sys.argv[2:]
+    if not os.path.exists(folder):
+        subprocess.run(["git", "clone", "-q", ".", folder], check=True)
+    subprocess.run(["cmake", "-S", folder, "-B", os.path.join(folder, "build"),
+                    "-G", "Ninja", "-DHICKORYCRANK_TESTS=OFF",
+                    "-DHICKORYCRANK_WERROR=OFF"],
+                   check=True, stdout=subprocess.DEVNULL)
+    missed = 0
+    for name, path, text, without in MUTANTS:
+        path = os.path.join(folder, path)
+        with open(path, encoding="utf-8") as source:
+            original = source.read()
+        if original.count(text) != 1:
+            sys.exit(f"{path}: the text of '{name}' is not there once")
+        try:
+            with open(path, "w", encoding="utf-8") as target:
+                target.write(original.replace(text, without))
+            build(folder)
+            caught = catchers(folder, seeds)
+        finally:
+            with open(path, "w", encoding="utf-8") as target:
+                target.write(original)
+        missed += not caught
+        print(f"{name}: {caught or 'NOT CAUGHT'}", flush=True)
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/daemon/store_reader.cpp
+++ b/src/daemon/store_reader.cpp
@@ -15,9 +15,10 @@
 /** Time that a watch waits. A lost answer is noticed after it; shorter watches
  * cost more calls, which are limited and priced. */
 constexpr std::chrono::milliseconds WatchWait(5'000);
-/** The same soon after a failure: a store that has just returned may never
- * answer a call from its outage, and changes wait until that is noticed. */
-constexpr std::chrono::milliseconds WatchWaitAfterFailure(500);
+/** The same at first and soon after a failure: a store that has just returned
+ * may never answer a call from its outage, and changes wait until that is
+ * noticed. */
+constexpr std::chrono::milliseconds UnprovenWatchWait(500);
 /** Time for an answer beyond the time that the store is asked to wait. */
 constexpr Duration AnswerTimeout = std::chrono::milliseconds(1'200);
 /** Time after a change in which further ones are gathered into one answer: a
@@ -107,8 +108,11 @@
 }
 
 void StoreReader::watch() {
-  bool Settled = Clock::now() - this->LastTrouble >= StableTime;
-  std::chrono::milliseconds Wait = Settled ? WatchWait : WatchWaitAfterFailure;
+  bool FailedLately =
+      this->LastFailure && Clock::now() - *this->LastFailure < StableTime;
+  // The first call of a reader that has learnt from its peers is unproven too.
+  std::chrono::milliseconds Wait =
+      FailedLately || !this->Healthy ? UnprovenWatchWait : WatchWait;
   this->ask(
       this->Dialect.WatchTarget(this->Revision, Wait), Wait + AnswerTimeout,
       [this](const net::HttpResponse &Response) { this->onWatch(Response); });
@@ -199,6 +203,7 @@
 void StoreReader::fail(const std::string &Reason) {
   ++this->Counters.Failures;
   this->LastTrouble = Clock::now();
+  this->LastFailure = this->LastTrouble;
   if (this->Healthy || this->FailuresInRow == 0) {
     logEvent(
         LogLevel::Warning, "store.lost",
--- a/src/daemon/store_reader_base.h
+++ b/src/daemon/store_reader_base.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace hickorycrank::daemon {
@@ -93,7 +94,8 @@
   bool Paused = true;
   bool RetryPending = false;
   net::ExchangeId Exchange = 0;
-  base::TimePoint LastTrouble;
+  base::TimePoint LastTrouble; ///< Also a time in which others read the store.
+  std::optional<base::TimePoint> LastFailure; ///< Of a call.
   StoreReaderCounters Counters;
 };
 
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -21,9 +21,11 @@
           std::to_string(Body.size()) + "\r\n\r\n" + Body};
 }
 
-/** A store that fails once, then swallows one call, then answers again. */
+/** A store that swallows one watch, then answers again. */
 class SwallowingStore {
 public:
+  /** @param Swallowed Which watch, from 1; those before it are refused. */
+  explicit SwallowingStore(int Swallowed) : Swallowed(Swallowed) {}
   ~SwallowingStore() { this->Ended = true; }
 
   ScriptedReply answer(const std::string &Head) {
@@ -31,10 +33,10 @@
       return answered("200 OK", R"({"items":[],"has-more":false,"as-of":5})");
     }
     int Watch = ++this->Watches;
-    if (Watch == 1) {
+    if (Watch < this->Swallowed) {
       return answered("503 Service Unavailable", "{}");
     }
-    if (Watch == 2) {
+    if (Watch == this->Swallowed) {
       this->SwallowedAt = base::Clock::now();
       while (!this->Ended) {
         std::this_thread::sleep_for(10ms);
@@ -49,6 +51,7 @@
   base::TimePoint swallowedAt() const { return this->SwallowedAt; }
 
 private:
+  int Swallowed;
   std::atomic<int> Watches{0};
   std::atomic<bool> Ended{false};
   std::atomic<base::TimePoint> SwallowedAt{};
@@ -60,7 +63,10 @@
 // a watch because the returned store never answers a call from its outage.
 TEST_CASE("a watch that the store swallows delays changes by little",
           "[fleet]") {
-  SwallowingStore Store;
+  // Either the store has failed before, or the reader has just started with
+  // what its peers know.
+  bool Started = GENERATE(false, true);
+  SwallowingStore Store(Started ? 1 : 2);
   ScriptedServer Platform(
       [&](const std::string &Head) { return Store.answer(Head); });
   boost::asio::io_context Context;
@@ -73,7 +79,7 @@
           LearnedAt = base::Clock::now();
         }
       }});
-  Reader->resume(0);
+  Reader->resume(Started ? 5 : 0);
   base::TimePoint GiveUp = base::Clock::now() + 10s;
   while (!LearnedAt && base::Clock::now() < GiveUp) {
     Context.run_for(10ms);
