Add the command explain: what logs tell of a request

Cause: on-call engineers have only logs, and the way from a request's id to its cause asked them to search the logs of all instances by hand.

hickorycrank explain ID LOG... joins the lines about the id with what the instances that saw it believed before, by time, and ends with a sentence for each line about it. Ruled out: all instances' changes as context, which buries the cause; each instance's own view decides what it does.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -326,7 +326,8 @@
         self.ledger.calm_since = time.monotonic()
 
     async def harm_server(self, server):
-        fault = self.rng.choice(["lose", "garble", "extra", "shed", "pause"])
+        fault = self.rng.choice(["lose", "garble", "extra", "stale", "shed",
+                                 "pause"])
         server.fault = fault
         await asyncio.sleep(self.rng.uniform(1, 3))
         server.fault = None
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -176,7 +176,7 @@
     def __init__(self, name, service, domain, rng, ledger):
         self.name, self.service, self.domain = name, service, domain
         self.rng, self.ledger = rng, ledger
-        self.fault = None  # lose, garble, extra, shed or pause
+        self.fault = None  # lose, garble, extra, stale, shed or pause
         self.leaving_since = None
         self.proxy = Proxy()
         self.born = int(time.time() * 1000)
@@ -219,6 +219,9 @@
         signature = self.ledger.sign(self.service, self.name, attempt)
         answer = b"".join(records_of(self.service, target))
         whole = response(200, {**echo, SIGNATURE: signature}, answer)
+        earlier, writer.earlier = getattr(writer, "earlier", None), whole
+        if self.fault == "stale" and earlier and self.rng.random() < 0.3:
+            whole = earlier + whole
         if self.fault == "lose" and self.rng.random() < 0.3:
             return False
         if self.fault == "garble" and self.rng.random() < 0.3:
--- a/src/cli/commands_func.h
+++ b/src/cli/commands_func.h
@@ -55,6 +55,10 @@
  * Arguments. @param Arguments Arguments. @return Exit code. */
 int runReplay(int Count, const char **Arguments);
 
+/** explain: joins what logs tell of a request. @param Count Arguments.
+ * @param Arguments Arguments. @return Exit code. */
+int runExplain(int Count, const char **Arguments);
+
 /** status: shows an instance's view. @param Count Arguments. @param Arguments
  * Arguments. @return Exit code. */
 int runStatus(int Count, const char **Arguments);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -17,6 +17,8 @@
     {"query", "send one query as a caller would", hickorycrank::cli::runQuery},
     {"replay", "run traces on virtual time against their bounds",
      hickorycrank::cli::runReplay},
+    {"explain", "tell from logs what happened to a request",
+     hickorycrank::cli::runExplain},
     {"status", "show an instance's view", hickorycrank::cli::runStatus},
     {"demo", "run both example deployments on loopback",
      hickorycrank::cli::runDemo},
