--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -9,6 +9,7 @@
 #include "standin/deployment_base.h"
 
 #include "base/digest_func.h"
+#include "hostile_text.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -20,6 +21,7 @@
 #include <tuple>
 
 using namespace hickorycrank;
+using namespace hickorycrank::tests;
 
 namespace {
 
@@ -49,46 +51,6 @@
     R"("service":"stock","address":"127.0.0.1:1","failure_domain":"d",)"
     R"("incarnation":2,"state":"leaving"}]})";
 
-/** Any bytes, also those that are no text. */
-rc::Gen<std::string> anyBytes() {
-  return rc::gen::container<std::string>(rc::gen::arbitrary<char>());
-}
-
-/** Valid text with some bytes replaced, removed, inserted or repeated. */
-rc::Gen<std::string> mutated(const std::string &Valid) {
-  return rc::gen::map(
-      rc::gen::container<std::vector<std::tuple<uint32_t, uint8_t, char>>>(
-          rc::gen::arbitrary<std::tuple<uint32_t, uint8_t, char>>()),
-      [Valid](const auto &Edits) {
-        std::string Text = Valid;
-        for (const auto &[Place, How, Byte] : Edits) {
-          size_t At = Text.empty() ? 0 : Place % Text.size();
-          switch (How % 5) {
-          case 0:
-            Text.insert(At, 1, Byte);
-            break;
-          case 1:
-            Text.erase(At, 1);
-            break;
-          case 2:
-            Text.resize(At);
-            break;
-          case 3:
-            Text += Text.substr(At, 64);
-            break;
-          default:
-            Text.insert(At, 1, "0123456789-\"{}[].e"[Place % 18]);
-          }
-        }
-        return Text;
-      });
-}
-
-/** Random bytes or a mutation of valid text. */
-rc::Gen<std::string> hostile(const std::string &Valid) {
-  return rc::gen::oneOf(anyBytes(), mutated(Valid));
-}
-
 /** Documents of the examples, by name. */
 std::map<std::string, std::string> exampleDocuments() {
   return standin::readDocuments(std::string(HICKORYCRANK_SOURCE_DIR) +
