Let the soak's callers keep their connections while an instance stops

Callers now keep connections until an answer ends them, and an instance gets requests for 2 s after SIGTERM, the time that a balancer needs; each must be answered. Ruled out: requests until the process is gone on new connections, which no balancer sends.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -7,6 +7,7 @@
 import collections
 import fcntl
 import json
+import math
 import os
 import random
 import signal
@@ -26,6 +27,7 @@
 DRAIN_S = 3.0    # A leaving server gets no new work after this time.
 STABLE_S = 4.0   # Without impairment of the store or an instance.
 CUT_SLACK_S = 0.5
+BALANCER_S = 2.0  # A stopping instance gets new requests for this time.
 PIPE_BYTES = 4096      # For the log of the first instance, which nobody reads.
 LOG_LINE_BYTES = 300   # A line about a request, which a full pipe cannot take.
 
@@ -89,16 +91,19 @@
 """)
         self.process = None
         self.output = None  # A pipe that nobody reads, if set.
-        self.stopping = False
+        self.called_until = math.inf  # The balancer passes requests on until then.
         self.harmed_at = 0.0  # Last fault that no planned stop explains.
 
     async def start(self):
         self.process = await asyncio.create_subprocess_exec(
             self.program, "gateway", "--settings", self.settings,
             stdout=self.output or self.log, stderr=self.log)
-        self.stopping = False
         self.started_at = time.monotonic()
 
+    @property
+    def stopping(self):
+        return self.called_until != math.inf
+
     def signal(self, number):
         if self.process and self.process.returncode is None:
             self.process.send_signal(number)
@@ -110,36 +115,64 @@
             self.signal(signal.SIGHUP)
 
     async def ready(self):
-        status = await ask(self.ip, READY, "GET", "/readiness", {}, b"", 1.0)
+        status = await ask(self.ip, READY, "GET", "/readiness")
         return status is not None and status[0] == 200
 
 
-async def ask(ip, port, method, target, headers, body, timeout):
-    """Sends one request on a new connection: (status, headers, body) or None."""
-    async def exchange():
-        reader, writer = await asyncio.open_connection(ip, port)
+async def exchange(reader, writer, method, target, headers, body):
+    """Sends one request and reads its response: (status, headers, body)."""
+    head = f"{method} {target} HTTP/1.1\r\n"
+    if body:
+        headers["Content-Length"] = str(len(body))
+    head += "".join(f"{k}: {v}\r\n" for k, v in headers.items())
+    writer.write(head.encode() + b"\r\n" + body)
+    answer = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    lines = answer.split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            fields[name.lower()] = value.strip()
+    content = await reader.readexactly(int(fields.get("content-length", "0")))
+    return int(lines[0].split(" ")[1]), fields, content
+
+
+class Connections:
+    """A client's open connections, used until the other side ends them."""
+
+    def __init__(self):
+        self.open = {}
+
+    async def ask(self, ip, port, method, target, headers, body, timeout):
+        """Returns (status, headers, body), or None without an answer."""
+        async def run():
+            reader, writer = self.open.pop((ip, port), (None, None))
+            if writer is None or reader.at_eof() or writer.is_closing():
+                reader, writer = await asyncio.open_connection(ip, port)
+            try:
+                answer = await exchange(reader, writer, method, target,
+                                        headers, body)
+            except BaseException:
+                writer.transport.abort()
+                raise
+            if answer[1].get("connection", "").lower() == "close":
+                writer.transport.abort()
+            else:
+                self.open[ip, port] = (reader, writer)
+            return answer
         try:
-            head = f"{method} {target} HTTP/1.1\r\n"
-            if body:
-                headers["Content-Length"] = str(len(body))
-            head += "".join(f"{k}: {v}\r\n" for k, v in headers.items())
-            writer.write(head.encode() + b"\r\n" + body)
-            answer = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-            lines = answer.split("\r\n")
-            fields = {}
-            for line in lines[1:]:
-                if ":" in line:
-                    name, value = line.split(":", 1)
-                    fields[name.lower()] = value.strip()
-            content = await reader.readexactly(
-                int(fields.get("content-length", "0")))
-            return int(lines[0].split(" ")[1]), fields, content
-        finally:
-            writer.transport.abort()
-    try:
-        return await asyncio.wait_for(exchange(), timeout)
-    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-        return None
+            return await asyncio.wait_for(run(), timeout)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return None
+
+
+async def ask(ip, port, method, target):
+    """Sends one request without a body on a connection of its own."""
+    client = Connections()
+    answer = await client.ask(ip, port, method, target, {}, b"", 1.0)
+    for _, writer in client.open.values():
+        writer.transport.abort()
+    return answer
 
 
 class Soak:
@@ -227,13 +260,14 @@
 
     async def caller(self, index):
         rng = random.Random(f"{self.options.seed} {index}")
+        client = Connections()
         while not self.stop:
             gateway = rng.choice(self.gateways)
-            if not gateway.stopping:
-                await self.call(rng, gateway)
+            if time.monotonic() < gateway.called_until:
+                await self.call(rng, gateway, client)
             await asyncio.sleep(rng.uniform(0.02, 0.08))
 
-    async def call(self, rng, gateway):
+    async def call(self, rng, gateway, client):
         attempt = f"{rng.getrandbits(64):016x}"
         wide = rng.random() < 0.7
         kind = "wide" if wide else "once"
@@ -241,10 +275,10 @@
         body = b"" if wide else attempt.encode()
         self.ledger.sent[attempt] = (target, body)
         begin = time.monotonic()
-        answer = await ask(gateway.ip, FRONT, "GET" if wide else "POST", target,
-                           {"Host": f"{kind}.example", ATTEMPT: attempt,
-                            "X-Hickorycrank-Timeout-Remaining": "2000"},
-                           body, 2.5)
+        answer = await client.ask(
+            gateway.ip, FRONT, "GET" if wide else "POST", target,
+            {"Host": f"{kind}.example", ATTEMPT: attempt,
+             "X-Hickorycrank-Timeout-Remaining": "2000"}, body, 2.5)
         took = time.monotonic() - begin
         self.check(attempt, kind, target, answer, gateway, begin, took)
 
@@ -255,7 +289,7 @@
             self.ledger.fail(f"{attempt} ran {len(runs)} times")
         if answer is None:
             self.counts[f"{kind} none"] += 1
-            if not harmed and not gateway.stopping:
+            if not harmed:
                 self.ledger.fail(f"{attempt} got no answer in {took:.1f} s")
             return
         status, fields, content = answer
@@ -300,21 +334,22 @@
     # Faults. Each returns after its end.
     async def restart(self, gateway, number):
         planned = number == signal.SIGTERM
-        gateway.stopping = planned
-        if not planned:
+        if planned:
+            gateway.called_until = time.monotonic() + BALANCER_S
+        else:
             gateway.harmed_at = time.monotonic()
         gateway.signal(number)
         await gateway.process.wait()
         await asyncio.sleep(self.rng.uniform(0.05, 0.5))
         if not planned:
             gateway.harmed_at = time.monotonic()
+        gateway.called_until = 0.0
         await gateway.start()
-        gateway.stopping = True
         for _ in range(60):
             if await gateway.ready():
                 break
             await asyncio.sleep(0.1)
-        gateway.stopping = False
+        gateway.called_until = math.inf
         self.ledger.calm_since = time.monotonic()
 
     async def freeze(self, gateway):
