--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -2,8 +2,8 @@
 """Shows that the soak finds faults: takes one rule out of the product at a
 time, in a copy of the sources, and names the seeds that catch it.
 
-soak/mutants.py FOLDER SEED...   FOLDER receives the copy and its build.
 """
+import argparse
 import os
 import subprocess
 import sys
@@ -66,7 +66,12 @@
 
 def main():
     """Prints one line for each mutant; exit code 1: one was not caught."""
-    folder, seeds = sys.argv[1], sys.argv[2:]
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("folder", help="receives the copy and its build")
+    parser.add_argument("seeds", nargs="+")
+    parser.add_argument("--only", default="", help="part of a mutant's name")
+    options = parser.parse_args()
+    folder, seeds = options.folder, options.seeds
     if not os.path.exists(folder):
         subprocess.run(["git", "clone", "-q", ".", folder], check=True)
     subprocess.run(["cmake", "-S", folder, "-B", os.path.join(folder, "build"),
@@ -75,6 +80,8 @@
                    check=True, stdout=subprocess.DEVNULL)
     missed = 0
     for name, path, text, without in MUTANTS:
+        if options.only not in name:
+            continue
         path = os.path.join(folder, path)
         with open(path, encoding="utf-8") as source:
             original = source.read()
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -445,6 +445,14 @@
             self.ledger.fail(f"the unread log has {used} bytes in its pipe of "
                              f"{PIPE_BYTES}")
 
+    async def drain_while_calm(self):
+        """One server of each service leaves; no fault excuses later work."""
+        services = self.shards() + ["single"]
+        await asyncio.gather(*(
+            self.leave(next(s for s in self.servers if s.service == service
+                            and not s.leaving_since))
+            for service in services))
+
     async def run(self):
         self.refused = []
         await self.start()
@@ -453,7 +461,7 @@
         await asyncio.sleep(STABLE_S)
         self.check_unread_log()
         self.counts.clear()
-        await asyncio.sleep(2)
+        await self.drain_while_calm()
         calm = dict(self.counts)
         self.stop = True
         await asyncio.gather(*callers)
