--- a/soak/soak.py
+++ b/soak/soak.py
@@ -27,6 +27,7 @@
 DRAIN_S = 3.0    # A leaving server gets no new work after this time.
 STABLE_S = 4.0   # Without impairment of the store or an instance.
 CUT_SLACK_S = 0.5
+SLOW_SHARE = 0.2  # Of the requests that are sent once.
 BALANCER_S = 2.0  # A stopping instance gets new requests for this time.
 PIPE_BYTES = 4096      # For the log of the first instance, which nobody reads.
 LOG_LINE_BYTES = 300   # A line about a request, which a full pipe cannot take.
@@ -271,7 +272,9 @@
         attempt = f"{rng.getrandbits(64):016x}"
         wide = rng.random() < 0.7
         kind = "wide" if wide else "once"
-        target = f"/{kind}/{rng.getrandbits(32):x}?q=1"
+        # A slow request is in progress when a stopping instance closes.
+        slow = not wide and rng.random() < SLOW_SHARE
+        target = f"/{kind}/{rng.getrandbits(32):x}?q=1" + "&slow=1" * slow
         body = b"" if wide else attempt.encode()
         self.ledger.sent[attempt] = (target, body)
         begin = time.monotonic()
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -7,6 +7,7 @@
 import urllib.parse
 
 RECORD_BYTES = 16
+SLOW_RUN_S = 0.7  # Longer than a stopping instance serves after its balancer.
 ATTEMPT = "x-hickorycrank-attempt-id"
 REMAINING = "x-hickorycrank-timeout-remaining"
 EXPECTED = "x-hickorycrank-expected-instance"
@@ -215,7 +216,8 @@
         if self.fault == "pause":
             await asyncio.sleep(0.2)
         self.ledger.ran(self, attempt, target, body, headers)
-        await asyncio.sleep(self.rng.uniform(0.002, 0.02))
+        await asyncio.sleep(SLOW_RUN_S if "slow=1" in target else
+                            self.rng.uniform(0.002, 0.02))
         signature = self.ledger.sign(self.service, self.name, attempt)
         answer = b"".join(records_of(self.service, target))
         whole = response(200, {**echo, SIGNATURE: signature}, answer)
--- a/src/diagnosis/explain.cpp
+++ b/src/diagnosis/explain.cpp
@@ -149,8 +149,9 @@
   while (!Text.empty()) {
     size_t End = std::min(Text.find('\n'), Text.size());
     if (auto Record = parseRecord(Text.substr(0, End))) {
-      if (Record->Event == "gateway.started") {
-        Log.Instance = field(*Record, "instance");
+      std::string Stated = field(*Record, "instance");
+      if (Record->Event == "gateway.started" && !Stated.empty()) {
+        Log.Instance = std::move(Stated);
       }
       Log.Records.push_back(std::move(*Record));
     }
@@ -195,7 +196,9 @@
     Text += formatTime(Entry.Record.At) + " " + Entry.Instance + " " +
             Entry.Record.Event;
     for (const auto &[Key, Value] : Entry.Record.Fields) {
-      Text += Key == "level" ? "" : " " + Key + "=" + Value;
+      if (Key != "level") {
+        Text.append(" ").append(Key).append("=").append(Value);
+      }
     }
     Text += "\n";
   }
--- a/src/replay/queue_floor_func.cpp
+++ b/src/replay/queue_floor_func.cpp
@@ -76,6 +76,7 @@
     }
   }
   std::vector<CentralQueue> Queues;
+  Queues.reserve(Changes.size());
   for (std::vector<SlotChange> &OfGroup : Changes) {
     Queues.emplace_back(Config.Replicas * Config.Slots, std::move(OfGroup));
   }
@@ -86,9 +87,10 @@
 
 std::vector<double> queueFloorMs(const Trace &Source, const RunRecord &Record) {
   const TraceConfig &Config = Source.Config;
+  size_t Shards = size_t{Config.Groups} * Config.ShardsPerGroup;
   std::vector<const QueryRecord *> Arrived;
   for (const QueryRecord &Query : Record.Queries) {
-    if (Query.ServiceMs.size() == Config.Groups * Config.ShardsPerGroup) {
+    if (Query.ServiceMs.size() == Shards) {
       Arrived.push_back(&Query);
     }
   }
--- a/tests/platform_fuzz_test.cpp
+++ b/tests/platform_fuzz_test.cpp
@@ -11,7 +11,6 @@
 
 using namespace hickorycrank;
 using namespace hickorycrank::tests;
-using discovery::Item;
 using discovery::ItemKind;
 
 namespace {
