--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -5,6 +5,7 @@
 """
 import argparse
 import os
+import signal
 import subprocess
 import sys
 
@@ -36,6 +37,7 @@
      "  this->LastKey.clear();\n"),
 ]
 SECONDS = "10"
+MAX_SECONDS = 90  # A run without faults ends within half of it.
 JOBS = 3
 
 
@@ -56,7 +58,11 @@
              seed, "--seconds", SECONDS], text=True, stdout=subprocess.PIPE,
             stderr=subprocess.DEVNULL)) for seed in group]
         for seed, run in runs:
-            output = run.communicate()[0]
+            try:
+                output = run.communicate(timeout=MAX_SECONDS)[0]
+            except subprocess.TimeoutExpired:
+                run.send_signal(signal.SIGINT)  # Ends its processes.
+                output = "VIOLATION no end in time\n" + run.communicate()[0]
             if run.returncode != 0:
                 found = [line for line in output.splitlines()
                          if line.startswith("VIOLATION")]
