--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -1,5 +1,6 @@
 // What the adapter in platform/ decodes, and that its names stay there.
 #include "platform/dialect_func.h"
+#include "platform_settings_text.h"
 
 #include <catch2/catch.hpp>
 #include <filesystem>
@@ -8,30 +9,17 @@
 #include <sstream>
 
 using namespace hickorycrank;
+using namespace hickorycrank::tests;
 using discovery::Item;
 using discovery::ItemKind;
 
 namespace {
 
-const char *const SettingsText = R"(
-node = "front-1"
-zone = "zone-a"
-ip-address = "10.1.0.39"
-internal-port-range = [7740, 7755]
-seeds = ["10.1.0.39:8224", "10.2.0.33:8224", "bad"]
-unknown-key = { a = 1 }
-[listen-addresses]
-front = "10.1.0.39:8226"
-readiness-address = "10.1.0.39:8227"
-control = "10.1.0.39:8224"
-[bounds]
-grace-period-s = 6
-retry-budget-ratio = 0.2
-budget-window-s = 10
-retry-budget-slack = 54
-[platform]
-address = "10.200.1.7:8229"
-)";
+/** Settings with an unknown key and a seed that is no address. */
+std::string settingsWithMistakes() {
+  return platformSettings(R"(, "10.2.0.33:8224", "bad")",
+                          "unknown-key = { a = 1 }\n");
+}
 
 Item server(const std::string &Value) {
   return {ItemKind::Server, "i-1", Value, 7};
@@ -45,7 +33,7 @@
 
 // Guards against settings that are misread or that need unknown keys.
 TEST_CASE("settings of the platform are decoded", "[platform]") {
-  auto Own = platform::readSettings(SettingsText, "settings.toml");
+  auto Own = platform::readSettings(settingsWithMistakes(), "settings.toml");
   REQUIRE(Own);
   CHECK(Own.value().Domain.Value == "zone-a");
   CHECK(Own.value().Callers.Port == 8226);
--- a/tests/platform_fuzz_test.cpp
+++ b/tests/platform_fuzz_test.cpp
@@ -4,6 +4,7 @@
 #include "hostile_text.h"
 #include "net/fleet_codec_func.h"
 #include "platform/dialect_func.h"
+#include "platform_settings_text.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -15,23 +16,7 @@
 
 namespace {
 
-const std::string ValidSettings = R"(node = "front-1"
-zone = "zone-a"
-ip-address = "10.1.0.39"
-internal-port-range = [7740, 7755]
-seeds = ["10.1.0.39:8224"]
-[listen-addresses]
-front = "10.1.0.39:8226"
-readiness-address = "10.1.0.39:8227"
-control = "10.1.0.39:8224"
-[bounds]
-grace-period-s = 6
-retry-budget-ratio = 0.2
-budget-window-s = 10
-retry-budget-slack = 54
-[platform]
-address = "10.200.1.7:8229"
-)";
+const std::string ValidSettings = platformSettings();
 
 const std::string ValidRoutes =
     R"({"version":7,"routes":[{"name":"a","host":"h","prefix":"/a/",)"
