Hold the queue floor's times in std::chrono types

Cause: src/replay/queue_floor_func held milliseconds as doubles in its signatures, against the house style. No change of behaviour: 69 test cases of [forward], [replay] and [docs] and 196 others pass.

--- a/src/replay/fake_server.cpp
+++ b/src/replay/fake_server.cpp
@@ -155,10 +155,10 @@
       }
     });
   } else {
-    double Ms = drawService(this->Generator, this->Config) * this->Slow;
-    this->Notify.OnService(Started, Ms);
-    this->Queue.after(base::fromMilliseconds(Ms),
-                      [this, Token] { this->finish(Token); });
+    base::Duration Service = base::fromMilliseconds(
+        drawService(this->Generator, this->Config) * this->Slow);
+    this->Notify.OnService(Started, Service);
+    this->Queue.after(Service, [this, Token] { this->finish(Token); });
   }
   this->Running.emplace(Token, std::move(Started));
 }
--- a/src/replay/fake_server_base.h
+++ b/src/replay/fake_server_base.h
@@ -35,8 +35,8 @@
 struct ServerCallbacks {
   std::function<void(const Job &, query::Reply)> OnReply;
   std::function<void(const Job &)> OnRun; ///< A job starts to run.
-  /** A job starts to run for so many milliseconds. */
-  std::function<void(const Job &, double)> OnService;
+  /** A job starts to run for this time. */
+  std::function<void(const Job &, base::Duration)> OnService;
   std::function<void()> OnCrash; ///< A job crashes the process.
 };
 
--- a/src/replay/queue_floor_func.cpp
+++ b/src/replay/queue_floor_func.cpp
@@ -8,9 +8,11 @@
 
 namespace {
 
+using base::Duration;
+
 /** A change of the number of slots in a group. */
 struct SlotChange {
-  double AtMs = 0;
+  Duration At{};
   bool Added = false;
 };
 
@@ -18,19 +20,19 @@
 class CentralQueue {
 public:
   CentralQueue(uint32_t Slots, std::vector<SlotChange> Changes)
-      : FreeAt(Slots, 0), Changes(std::move(Changes)) {
+      : FreeAt(Slots, Duration::zero()), Changes(std::move(Changes)) {
     std::stable_sort(this->Changes.begin(), this->Changes.end(),
                      [](const SlotChange &Left, const SlotChange &Right) {
-                       return Left.AtMs < Right.AtMs;
+                       return Left.At < Right.At;
                      });
   }
 
-  /** @param NowMs Arrival of the work. @param ServiceMs Its length.
+  /** @param Now Arrival of the work. @param Service Its length.
    * @return When it ends. */
-  double run(double NowMs, double ServiceMs) {
-    this->applyChanges(NowMs);
+  Duration run(Duration Now, Duration Service) {
+    this->applyChanges(Now);
     std::pop_heap(this->FreeAt.begin(), this->FreeAt.end(), std::greater<>());
-    double End = std::max(this->FreeAt.back(), NowMs) + ServiceMs;
+    Duration End = std::max(this->FreeAt.back(), Now) + Service;
     this->FreeAt.back() = End;
     std::push_heap(this->FreeAt.begin(), this->FreeAt.end(), std::greater<>());
     return End;
@@ -38,12 +40,12 @@
 
 private:
   /** Lost slots are those that would be busy longest, which is favourable. */
-  void applyChanges(double NowMs) {
+  void applyChanges(Duration Now) {
     for (; this->Next < this->Changes.size() &&
-           this->Changes[this->Next].AtMs <= NowMs;
+           this->Changes[this->Next].At <= Now;
          ++this->Next) {
       if (this->Changes[this->Next].Added) {
-        this->FreeAt.push_back(this->Changes[this->Next].AtMs);
+        this->FreeAt.push_back(this->Changes[this->Next].At);
       } else if (this->FreeAt.size() > 1) {
         this->FreeAt.erase(
             std::max_element(this->FreeAt.begin(), this->FreeAt.end()));
@@ -52,7 +54,7 @@
     std::make_heap(this->FreeAt.begin(), this->FreeAt.end(), std::greater<>());
   }
 
-  std::vector<double> FreeAt;
+  std::vector<Duration> FreeAt;
   std::vector<SlotChange> Changes;
   size_t Next = 0;
 };
@@ -68,9 +70,9 @@
     for (uint32_t Server : Event.Servers) {
       std::vector<SlotChange> &Target = Changes[Server / Config.Replicas];
       for (uint32_t Slot = 0; Slot < Config.Slots; ++Slot) {
-        Target.push_back({base::toMilliseconds(Event.At), false});
-        if (Event.For > base::Duration::zero()) {
-          Target.push_back({base::toMilliseconds(Event.At + Event.For), true});
+        Target.push_back({Event.At, false});
+        if (Event.For > Duration::zero()) {
+          Target.push_back({Event.At + Event.For, true});
         }
       }
     }
@@ -85,12 +87,12 @@
 
 } // namespace
 
-std::vector<double> queueFloorMs(const Trace &Source, const RunRecord &Record) {
+std::vector<Duration> queueFloor(const Trace &Source, const RunRecord &Record) {
   const TraceConfig &Config = Source.Config;
   size_t Shards = size_t{Config.Groups} * Config.ShardsPerGroup;
   std::vector<const QueryRecord *> Arrived;
   for (const QueryRecord &Query : Record.Queries) {
-    if (Query.ServiceMs.size() == Shards) {
+    if (Query.Service.size() == Shards) {
       Arrived.push_back(&Query);
     }
   }
@@ -99,17 +101,15 @@
                      return Left->SentAt < Right->SentAt;
                    });
   std::vector<CentralQueue> Queues = makeQueues(Source);
-  std::vector<double> Latencies;
+  std::vector<Duration> Latencies;
   for (const QueryRecord *Query : Arrived) {
-    double Begin = base::toMilliseconds(Query->SentAt);
-    double End = Begin;
-    for (const auto &[Shard, ServiceMs] : Query->ServiceMs) {
+    Duration End = Query->SentAt;
+    for (const auto &[Shard, Service] : Query->Service) {
       CentralQueue &Target = Queues[Shard / Config.ShardsPerGroup];
-      End = std::max(End, Target.run(Begin, ServiceMs));
+      End = std::max(End, Target.run(Query->SentAt, Service));
     }
     if (Query->SentAt >= Config.Warmup) {
-      Latencies.push_back(End - Begin +
-                          base::toMilliseconds(2 * Config.Network));
+      Latencies.push_back(End - Query->SentAt + 2 * Config.Network);
     }
   }
   return Latencies;
--- a/src/replay/queue_floor_func.h
+++ b/src/replay/queue_floor_func.h
@@ -16,10 +16,11 @@
  * taken into account among the faults.
  * @param Source The trace; each query must need all shards.
  * @param Record A run of it.
- * @return Latency of each query whose shards all ran, in milliseconds, in the
- *   order of arrival and without the warm-up.
+ * @return Latency of each query whose shards all ran, in the order of arrival
+ *   and without the warm-up.
  */
-std::vector<double> queueFloorMs(const Trace &Source, const RunRecord &Record);
+std::vector<base::Duration> queueFloor(const Trace &Source,
+                                       const RunRecord &Record);
 
 } // namespace hickorycrank::replay
 
--- a/src/replay/report_func.cpp
+++ b/src/replay/report_func.cpp
@@ -186,8 +186,11 @@
 }
 
 /** @return Figures of one central queue a group, for the work of a run. */
-Summary queueFloor(const Trace &Source, const RunRecord &Record) {
-  std::vector<double> Latencies = queueFloorMs(Source, Record);
+Summary floorSummary(const Trace &Source, const RunRecord &Record) {
+  std::vector<double> Latencies;
+  for (base::Duration Latency : queueFloor(Source, Record)) {
+    Latencies.push_back(base::toMilliseconds(Latency));
+  }
   std::sort(Latencies.begin(), Latencies.end());
   Summary Figures;
   Figures.P99Ms = quantile(Latencies, 0.99);
@@ -277,7 +280,7 @@
       NoReports = NoReports ? NoReports : runOnce(Source, Blind);
       Other = *NoReports;
     } else if (Stated.Kind == BoundKind::P99OverQueueFloor) {
-      Other = queueFloor(Source, Record);
+      Other = floorSummary(Source, Record);
     }
     double Measured = measure(Stated.Kind, Result.Figures, Other);
     bool Smallest = Stated.Kind == BoundKind::Coverage ||
--- a/src/replay/result_type.h
+++ b/src/replay/result_type.h
@@ -28,7 +28,7 @@
   uint32_t Responses = 0;   ///< Must be 1 in the end.
   uint64_t Snapshot = 0;    ///< Of the answer.
   std::optional<query::RefusalKind> Refused;
-  std::map<uint32_t, double> ServiceMs; ///< Of the first run, by shard.
+  std::map<uint32_t, base::Duration> Service; ///< Of the first run, by shard.
   bool NotRun = false; ///< The refusal says that no server ran it.
 };
 
--- a/src/replay/session.cpp
+++ b/src/replay/session.cpp
@@ -49,11 +49,11 @@
     Notify.OnRun = [this](const Job &Started) {
       ++this->Record.Queries[this->queryOf(*Started.Source)].Runs;
     };
-    Notify.OnService = [this](const Job &Started, double Ms) {
+    Notify.OnService = [this](const Job &Started, Duration Service) {
       auto Shard = std::find(this->ShardNames.begin(), this->ShardNames.end(),
                              Started.Shard);
-      this->Record.Queries[this->queryOf(*Started.Source)].ServiceMs.emplace(
-          static_cast<uint32_t>(Shard - this->ShardNames.begin()), Ms);
+      this->Record.Queries[this->queryOf(*Started.Source)].Service.emplace(
+          static_cast<uint32_t>(Shard - this->ShardNames.begin()), Service);
     };
     Notify.OnCrash = [this, I] {
       ++this->Record.ServersLost;
--- a/tests/queue_floor_test.cpp
+++ b/tests/queue_floor_test.cpp
@@ -20,10 +20,10 @@
   return Source;
 }
 
-replay::QueryRecord makeQuery(base::Duration SentAt, double ServiceMs) {
+replay::QueryRecord makeQuery(base::Duration SentAt, base::Duration Service) {
   replay::QueryRecord Added;
   Added.SentAt = SentAt;
-  Added.ServiceMs[0] = ServiceMs;
+  Added.Service[0] = Service;
   return Added;
 }
 
@@ -32,9 +32,10 @@
 // Guards against a floor that is higher than what a schedule can reach.
 TEST_CASE("work waits for the first free slot of its group", "[replay]") {
   replay::RunRecord Record;
-  Record.Queries = {makeQuery(0ms, 10), makeQuery(0ms, 30), makeQuery(5ms, 10)};
-  CHECK(replay::queueFloorMs(makeTrace(), Record) ==
-        std::vector<double>{10, 30, 15});
+  Record.Queries = {makeQuery(0ms, 10ms), makeQuery(0ms, 30ms),
+                    makeQuery(5ms, 10ms)};
+  CHECK(replay::queueFloor(makeTrace(), Record) ==
+        std::vector<base::Duration>{10ms, 30ms, 15ms});
 }
 
 // Guards against a floor that counts slots of servers that do not run.
@@ -47,15 +48,15 @@
   Crash.Servers = {1};
   Source.Events = {Crash};
   replay::RunRecord Record;
-  Record.Queries = {makeQuery(110ms, 10), makeQuery(110ms, 10),
-                    makeQuery(210ms, 10), makeQuery(210ms, 10)};
-  CHECK(replay::queueFloorMs(Source, Record) ==
-        std::vector<double>{10, 20, 10, 10});
+  Record.Queries = {makeQuery(110ms, 10ms), makeQuery(110ms, 10ms),
+                    makeQuery(210ms, 10ms), makeQuery(210ms, 10ms)};
+  CHECK(replay::queueFloor(Source, Record) ==
+        std::vector<base::Duration>{10ms, 20ms, 10ms, 10ms});
 }
 
 // Guards against refused queries that make the floor look low.
 TEST_CASE("queries that did not run whole have no floor", "[replay]") {
   replay::RunRecord Record;
-  Record.Queries = {makeQuery(0ms, 10), replay::QueryRecord{}};
-  CHECK(replay::queueFloorMs(makeTrace(), Record).size() == 1);
+  Record.Queries = {makeQuery(0ms, 10ms), replay::QueryRecord{}};
+  CHECK(replay::queueFloor(makeTrace(), Record).size() == 1);
 }
