--- a/src/daemon/store_reader.cpp
+++ b/src/daemon/store_reader.cpp
@@ -142,17 +142,28 @@
       });
 }
 
-void StoreReader::onPage(const net::HttpResponse &Response) {
+template <typename T>
+std::optional<T> StoreReader::readAnswer(
+    const net::HttpResponse &Response,
+    const std::function<base::Result<T>(const std::string &)> &Decode) {
   if (Response.Status != 200) {
     this->fail("status " + std::to_string(Response.Status));
-    return;
+    return std::nullopt;
   }
-  auto Decoded = this->Dialect.DecodePage(Response.Body);
+  auto Decoded = Decode(Response.Body);
   if (!Decoded) {
     this->fail(Decoded.error().Message);
+    return std::nullopt;
+  }
+  return std::move(Decoded.value());
+}
+
+void StoreReader::onPage(const net::HttpResponse &Response) {
+  auto Answer = this->readAnswer(Response, this->Dialect.DecodePage);
+  if (!Answer) {
     return;
   }
-  discovery::Page Page = std::move(Decoded.value());
+  discovery::Page &Page = *Answer;
   // Pages are no snapshot: the watch repeats what changed after the first.
   if (this->LastKey.empty()) {
     this->Partial.Revision = Page.Revision;
@@ -182,16 +193,11 @@
     this->list();
     return;
   }
-  if (Response.Status != 200) {
-    this->fail("status " + std::to_string(Response.Status));
-    return;
-  }
-  auto Decoded = this->Dialect.DecodeChanges(Response.Body);
-  if (!Decoded) {
-    this->fail(Decoded.error().Message);
+  auto Answer = this->readAnswer(Response, this->Dialect.DecodeChanges);
+  if (!Answer) {
     return;
   }
-  discovery::Update Newer = std::move(Decoded.value());
+  discovery::Update &Newer = *Answer;
   Newer.Since = this->Revision;
   this->Revision = std::max(this->Revision, Newer.Revision);
   bool Changed = !Newer.Changes.empty();
--- a/src/daemon/store_reader_base.h
+++ b/src/daemon/store_reader_base.h
@@ -72,6 +72,13 @@
   void watch();
   void ask(const std::string &Target, base::Duration Timeout,
            std::function<void(const net::HttpResponse &)> Handle);
+  /** Counts an answer with another status or a bad body as a failure.
+   * @param Response The answer. @param Decode Reads its body.
+   * @return What it holds, if it is good. */
+  template <typename T>
+  std::optional<T>
+  readAnswer(const net::HttpResponse &Response,
+             const std::function<base::Result<T>(const std::string &)> &Decode);
   void onPage(const net::HttpResponse &Response);
   void onWatch(const net::HttpResponse &Response);
   void fail(const std::string &Reason);
