Say in a timeout's explanation how many parts had a reply

The text claimed that no reply came, which the log line does not say for a request to several shards.

--- a/src/diagnosis/explain.cpp
+++ b/src/diagnosis/explain.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 /** Time before a request in which changes of configuration, store and
- * instance count; the platform's outages last about as long. */
+ * instance count: two whole watches of the store and their retries. */
 constexpr milliseconds ContextTime(15'000);
 /** The same for changes of single servers, of which there are many. */
 constexpr milliseconds ServerContextTime(3'000);
@@ -100,9 +100,9 @@
     return "its content crashed servers before";
   }
   if (Reason == "timeout") {
-    return field(Record, "attempts") +
-           " attempts were sent and no reply came " + "within " +
-           field(Record, "took_ms") + " ms";
+    return field(Record, "answered") + " of " + field(Record, "shards") +
+           " parts had a reply after " + field(Record, "took_ms") + " ms and " +
+           field(Record, "attempts") + " attempts";
   }
   if (field(Record, "broken") != "0" && MayHaveRun) {
     return field(Record, "broken") +
--- a/tests/forward_rules_test.cpp
+++ b/tests/forward_rules_test.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 using namespace hickorycrank;
 using namespace std::chrono_literals;
@@ -23,6 +24,21 @@
   return Made;
 }
 
+/** @param Domains Failure domain of each server.
+ * @return Servers "i-0" and so on of service "one", with three slots each. */
+std::vector<forward::ServerEntry>
+makeEntries(const std::vector<std::string> &Domains) {
+  std::vector<forward::ServerEntry> Entries(Domains.size());
+  for (size_t I = 0; I < Domains.size(); ++I) {
+    Entries[I].Id = base::ServerId("i-" + std::to_string(I));
+    Entries[I].Service = "one";
+    Entries[I].Address = "127.0.0.1:" + std::to_string(I + 1);
+    Entries[I].Domain = base::FailureDomainId(Domains[I]);
+    Entries[I].Slots = 3;
+  }
+  return Entries;
+}
+
 std::string record(char First) { return std::string(16, First); }
 
 } // namespace
@@ -177,15 +193,7 @@
 TEST_CASE("a server whose oldest attempt is overdue is avoided", "[forward]") {
   forward::ServerSet Servers;
   base::TimePoint Now{1h};
-  std::vector<forward::ServerEntry> Entries(2);
-  for (size_t I = 0; I < Entries.size(); ++I) {
-    Entries[I].Id = base::ServerId("i-" + std::to_string(I));
-    Entries[I].Service = "one";
-    Entries[I].Address = "127.0.0.1:" + std::to_string(I + 1);
-    Entries[I].Domain = base::FailureDomainId(I == 0 ? "a" : "b");
-    Entries[I].Slots = 3;
-  }
-  Servers.apply(Now, Entries);
+  Servers.apply(Now, makeEntries({"a", "b"}));
   forward::ServicePool &Pool = Servers.pool("one");
   base::Random Generator(1);
   forward::ReplicaRequest Wanted;
@@ -211,15 +219,7 @@
 TEST_CASE("a server that refuses requests is avoided", "[forward]") {
   forward::ServerSet Servers;
   base::TimePoint Now{1h};
-  std::vector<forward::ServerEntry> Entries(2);
-  for (size_t I = 0; I < Entries.size(); ++I) {
-    Entries[I].Id = base::ServerId("i-" + std::to_string(I));
-    Entries[I].Service = "one";
-    Entries[I].Address = "127.0.0.1:" + std::to_string(I + 1);
-    Entries[I].Domain = base::FailureDomainId("a");
-    Entries[I].Slots = 3;
-  }
-  Servers.apply(Now, Entries);
+  Servers.apply(Now, makeEntries({"a", "a"}));
   forward::ServicePool &Pool = Servers.pool("one");
   base::Random Generator(1);
   forward::ReplicaRequest Wanted;
