Let wide requests give way at busy servers

Cause: in a burst the parts of wide requests (target 150 ms) queue at the servers in front of urgent ones (target 60 ms), and a part that is bound to a server early misses the replica that becomes free first.

Change: the first attempt of a route with at least twice the target of another route to the same shards waits here, for at most a quarter of its target, while the best replica has two rounds of its slots queued and an attempt of this instance is among them.

--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -156,6 +156,7 @@
   Count("hedges", Decisions.Hedges);
   Count("retries", Decisions.Retries);
   Count("hedges_denied", Decisions.HedgesDenied);
+  Count("deferred", Decisions.Deferred);
   Count("retries_denied", Decisions.RetriesDenied);
   Count("attempts_shed", Decisions.Shed);
   Count("attempts_misdirected", Decisions.Misdirected);
--- a/src/forward/call_type.h
+++ b/src/forward/call_type.h
@@ -131,6 +131,7 @@
   base::TimePoint Deadline;
   base::TimePoint NextWake = base::TimePoint::max();
   base::Fingerprint Content;
+  bool Deferrable = false; ///< Its attempts give way at busy servers.
   uint32_t Answered = 0;
   uint32_t Failed = 0;
   std::vector<Part> Parts;
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -62,6 +62,7 @@
   };
   std::erase_if(this->Turns, IsGone);
   std::erase_if(this->Latencies, IsGone);
+  this->DeferrableRoutes = findDeferrable(*this->Table);
   return true;
 }
 
@@ -100,6 +101,7 @@
   Target.Source = Source;
   Target.ArrivedAt = Now;
   Target.Content = Request.Content;
+  Target.Deferrable = this->DeferrableRoutes.count(Source->Name) != 0;
   Duration Allowed = std::min<Duration>(Request.Remaining, Source->Timeout);
   Target.Deadline = Now + std::max(Allowed - DeliveryMargin, Allowed / 2);
   if (Source->fansOut()) {
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -21,6 +21,12 @@
 constexpr double AssumedLatencyShare = 0.2;
 /** Pause before a part looks for a free server again. */
 constexpr Duration BusyPause = std::chrono::milliseconds(5);
+/** Longest time for which the first attempt of a deferrable request waits
+ * here rather than in a server's queue, as a share of its target. */
+constexpr double MaxDeferShare = 0.25;
+/** Pause before a deferred part looks at the queues again; a fifth of the
+ * usual time that an attempt of such a request takes. */
+constexpr Duration DeferPause = std::chrono::milliseconds(4);
 /** Pause before a part that the budget holds back asks again. */
 constexpr Duration BudgetPause = std::chrono::milliseconds(50);
 /** Pause before a broken attempt is repeated. A request that crashes servers
@@ -124,6 +130,13 @@
   return chooseReplica(*Target.Pool, Wanted, this->Generator);
 }
 
+bool Engine::shouldDefer(TimePoint Now, const Call &Owner, const Server &To) {
+  auto Longest = std::chrono::duration_cast<Duration>(Owner.Source->Target *
+                                                      MaxDeferShare);
+  return Owner.Deferrable && Now - Owner.ArrivedAt < Longest &&
+         hasLongQueue(Now, To);
+}
+
 void Engine::startAttempt(TimePoint Now, Call &Owner, uint32_t Index,
                           Actions &Out) {
   Part &Target = Owner.Parts[Index];
@@ -152,6 +165,11 @@
     Target.WakeAt = Now + BusyPause;
     return;
   }
+  if (Target.Arrivals == 0 && shouldDefer(Now, Owner, *To)) {
+    this->Counters.Deferred += Target.WakeAt == TimePoint() ? 1 : 0;
+    Target.WakeAt = Now + DeferPause;
+    return;
+  }
   if (Target.Arrivals > 0) {
     if (!Target.Pool->Budget.tryTake(limits::ExtraKind::Retry,
                                      this->Options.Extra, this->Instances,
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -12,6 +12,7 @@
 #include <queue>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace hickorycrank::forward {
 
@@ -32,6 +33,7 @@
   uint64_t Hedges = 0;
   uint64_t Retries = 0;
   uint64_t HedgesDenied = 0;  ///< By the budget.
+  uint64_t Deferred = 0;      ///< First attempts that gave way.
   uint64_t RetriesDenied = 0; ///< By the budget.
   uint64_t Shed = 0;          ///< Replies that say: not executed.
   uint64_t Misdirected = 0;
@@ -212,6 +214,8 @@
                  bool AvoidTried);
   void startAttempt(base::TimePoint Now, Call &Owner, uint32_t Index,
                     Actions &Out);
+  static bool shouldDefer(base::TimePoint Now, const Call &Owner,
+                          const Server &To);
   void send(base::TimePoint Now, Call &Owner, uint32_t Index, Server &To,
             Actions &Out);
   void hedge(base::TimePoint Now, Call &Owner, uint32_t Index, Actions &Out);
@@ -244,6 +248,7 @@
       Latencies; ///< By route.
   /** Running totals of weighted round-robin, by route and service. */
   std::map<std::string, std::map<std::string, double>> Turns;
+  std::unordered_set<std::string> DeferrableRoutes;
   std::priority_queue<Wake, std::vector<Wake>, std::greater<>> Wakes;
   uint64_t NextCall = 1;
 };
--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -47,6 +47,9 @@
 constexpr double MinSlowness = 0.3;
 /** Share of the wait for a slot that counts while slots are still free. */
 constexpr double EarlyWaitShare = 0.1;
+/** Attempts a slot, running and waiting, from which on a queue is long: a
+ * shorter one may leave slots idle until the next attempt arrives. */
+constexpr double LongQueueRounds = 2;
 
 double fade(double Value, double Neutral, Duration Age) {
   double Weight = std::exp2(-toMilliseconds(Age) / ForgetHalfLifeMs);
@@ -160,6 +163,11 @@
   return estimatedLoad(Now, Target) + 1 <= slots(Target);
 }
 
+bool hasLongQueue(TimePoint Now, const Server &Target) {
+  return !Target.Outstanding.empty() &&
+         estimatedLoad(Now, Target) + 1 > slots(Target) * LongQueueRounds;
+}
+
 bool isStalled(TimePoint Now, const Server &Target) {
   for (const OutstandingAttempt &Attempt : Target.Outstanding) {
     double Usual = toMilliseconds(Attempt.Expected) *
--- a/src/forward/replica_func.h
+++ b/src/forward/replica_func.h
@@ -56,6 +56,17 @@
  */
 bool hasFreeSlot(base::TimePoint Now, const Server &Target);
 
+/**
+ * Tells whether a new attempt would queue for longer than all slots take to be
+ * free once. Only servers with an attempt of this instance count, whose reply
+ * will tell their load: reports of others' attempts are old by the time that
+ * they are read.
+ * @param Now Current time.
+ * @param Target The server.
+ * @return Whether its queue is that long, as far as known.
+ */
+bool hasLongQueue(base::TimePoint Now, const Server &Target);
+
 /**
  * Tells whether a service has a server that may be used, now or once an
  * attempt has ended.
--- a/src/forward/route_table.cpp
+++ b/src/forward/route_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unordered_map>
 
 namespace hickorycrank::forward {
 
@@ -31,4 +32,26 @@
                             std::max<size_t>(1, Source.Shards.size()));
 }
 
+std::unordered_set<std::string> findDeferrable(const RouteTable &Table) {
+  using std::chrono::milliseconds;
+  std::unordered_map<std::string_view, milliseconds> Shortest; // By shard.
+  for (const Route &Entry : Table.Routes) {
+    for (const std::string &Shard : Entry.Shards) {
+      auto [Known, New] = Shortest.try_emplace(Shard, Entry.Target);
+      Known->second = std::min(Known->second, Entry.Target);
+    }
+  }
+  std::unordered_set<std::string> Found;
+  for (const Route &Entry : Table.Routes) {
+    bool Waits = std::any_of(Entry.Shards.begin(), Entry.Shards.end(),
+                             [&](const auto &Shard) {
+                               return Shortest.at(Shard) * 2 <= Entry.Target;
+                             });
+    if (Waits) {
+      Found.insert(Entry.Name);
+    }
+  }
+  return Found;
+}
+
 } // namespace hickorycrank::forward
--- a/src/forward/route_table_func.h
+++ b/src/forward/route_table_func.h
@@ -3,7 +3,9 @@
 
 #include "forward/route_type.h"
 
+#include <string>
 #include <string_view>
+#include <unordered_set>
 
 namespace hickorycrank::forward {
 
@@ -26,6 +28,14 @@
  */
 size_t requiredParts(const Route &Source);
 
+/**
+ * Finds the routes whose requests can give way at busy servers: another route
+ * asks one of their shards and has at most half of their target.
+ * @param Table The configuration.
+ * @return Their names.
+ */
+std::unordered_set<std::string> findDeferrable(const RouteTable &Table);
+
 } // namespace hickorycrank::forward
 
 #endif
--- a/tests/forward_harness.h
+++ b/tests/forward_harness.h
@@ -178,6 +178,18 @@
     return Test;
   }
 
+  /** @return The same with a second route to these shards, "/urgent/", whose
+   * target is 60 ms. */
+  static ForwardHarness withUrgentRoute() {
+    ForwardHarness Test = tenShards();
+    forward::Route Urgent = wide(10, 0.75);
+    Urgent.Name = "urgent";
+    Urgent.Prefix = "/urgent/";
+    Urgent.Target = std::chrono::milliseconds(60);
+    Test.publish({wide(10, 0.89), Urgent});
+    return Test;
+  }
+
   forward::Engine Engine;
   base::TimePoint Now{std::chrono::hours(1)};
   forward::Actions Out;
--- a/tests/forward_load_test.cpp
+++ b/tests/forward_load_test.cpp
@@ -3,6 +3,7 @@
 #include "forward_harness.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 
 using namespace hickorycrank;
 using namespace hickorycrank::tests;
@@ -64,6 +65,46 @@
   CHECK(Test.take<forward::SendAttempt>().size() == 10);
 }
 
+// Pattern: a burst of wide requests with time to spare fills the queues of all
+// servers. Guards against urgent requests that wait behind them, and against
+// wide ones that wait here for longer than a quarter of their target.
+TEST_CASE("a burst of wide requests leaves room for urgent ones", "[forward]") {
+  ForwardHarness Test = ForwardHarness::withUrgentRoute();
+  for (int I = 0; I < 40; ++I) {
+    Test.ask("wide.example", "/wide/x");
+  }
+  auto Sent = Test.take<forward::SendAttempt>();
+  Test.ask("wide.example", "/urgent/x");
+  CHECK(Test.take<forward::SendAttempt>().size() == 10);
+  Test.pass(5ms);
+  for (const auto &Entry : Test.take<forward::SendAttempt>()) {
+    Sent.push_back(Entry);
+  }
+  // Two rounds of three slots, less the urgent request's.
+  std::map<forward::ServerKey, int> Waiting;
+  for (const auto &Entry : Sent) {
+    CHECK(++Waiting[Entry.Server] <= 6);
+  }
+  CHECK(Waiting.size() == 30);
+  // Replies make room for deferred attempts of their shard alone.
+  for (const auto &Entry : Sent) {
+    if (Entry.Ref.Part == 0) {
+      Test.reply(Entry, ForwardHarness::good("sig"));
+    }
+  }
+  Test.pass(5ms);
+  auto Second = Test.take<forward::SendAttempt>();
+  CHECK(Second.size() >= 10);
+  for (const auto &Entry : Second) {
+    CHECK(Entry.Ref.Part == 0);
+  }
+  Test.pass(30ms);
+  CHECK(Sent.size() + Second.size() +
+            Test.take<forward::SendAttempt>().size() ==
+        400);
+  CHECK(Test.Engine.counters().Deferred >= 200);
+}
+
 // Pattern: all shards are slow. Guards against hedges that add to the load
 // which made the first attempts late.
 TEST_CASE("a hedge is not sent to a server without a free slot", "[forward]") {
--- a/tests/forward_rules_test.cpp
+++ b/tests/forward_rules_test.cpp
@@ -43,6 +43,25 @@
 
 } // namespace
 
+// Guards against urgent requests that give way, and against requests that give
+// way to none.
+TEST_CASE("only routes with a more urgent rival at their shards give way",
+          "[forward]") {
+  forward::RouteTable Table;
+  Table.Routes = {route("x.example", "/a/"), route("x.example", "/b/"),
+                  route("x.example", "/c/"), route("x.example", "/d/")};
+  const char *Names[] = {"sweep", "near", "other", "close"};
+  int Targets[] = {150, 60, 150, 100};
+  for (size_t I = 0; I < 4; ++I) {
+    Table.Routes[I].Name = Names[I];
+    Table.Routes[I].Target = std::chrono::milliseconds(Targets[I]);
+    Table.Routes[I].Shards = {"s0", "s1"};
+  }
+  Table.Routes[2].Shards = {"t0"};
+  CHECK(forward::findDeferrable(Table) ==
+        std::unordered_set<std::string>{"sweep"});
+}
+
 // Guards against a request that goes where a shorter prefix or another host
 // leads.
 TEST_CASE("the longest prefix of the host wins", "[forward]") {
