Refuse a wide request at once when needed shards have too long queues

Cause: admission left overloaded shards out while the route's share allows it, and asked the rest however long their queues were.

Change: a request is refused with 503, not run, if more shards than may be missing are expected to reply later than 1.2 targets, as far as own attempts queue there. Estimates and leaving out share one pass now.

The new load test fails without the limit.

--- a/src/diagnosis/explain.cpp
+++ b/src/diagnosis/explain.cpp
@@ -93,8 +93,8 @@
   }
   if (Reason == "overloaded") {
     return MayHaveRun ? "the servers took too long"
-                      : "all servers were at their limits or refused it, and "
-                        "it has not run";
+                      : "the servers' queues were too long or they refused "
+                        "it, and it has not run";
   }
   if (Reason == "quarantined") {
     return "its content crashed servers before";
--- a/src/forward/call_type.h
+++ b/src/forward/call_type.h
@@ -55,7 +55,7 @@
   NotReady,      ///< No configuration is known.
   NoRoute,       ///< The configuration has no route for the request.
   NoServer,      ///< No backend server may be used.
-  Overloaded,    ///< All backend servers refused the request.
+  Overloaded,    ///< Backend servers refused it or have too long queues.
   Quarantined,   ///< Equal requests crashed backend servers.
   Timeout,       ///< No result in time.
   BackendFailed, ///< Backend servers failed; the request may have run.
@@ -63,6 +63,9 @@
 
 inline constexpr size_t RefusalReasonCount = 7;
 
+/** Time in which servers that shed load usually have room again. */
+inline constexpr std::chrono::milliseconds OverloadRetryAfter(150);
+
 /** A final answer without a result. */
 struct Refusal {
   RefusalReason Reason = RefusalReason::NotReady;
--- a/src/forward/engine_admission.cpp
+++ b/src/forward/engine_admission.cpp
@@ -20,6 +20,11 @@
  * to reply to be asked. The rest covers the estimate's error; a shard that is
  * asked in vain delays the requests of all others. */
 constexpr double OverloadShare = 0.85;
+/** Share of a route's target from which on the expected reply of a shard that
+ * the answer needs is too late to ask for. It is above the target since the
+ * estimate errs, and a late answer serves a caller better than a refusal. */
+constexpr double RefuseShare = 1.2;
+
 } // namespace
 
 const std::string &Engine::chooseService(const Route &Source) {
@@ -69,18 +74,19 @@
   for (Part *Entry : Lost) {
     this->leaveOut(Target, *Entry);
   }
-  this->leaveOutOverloaded(Now, Target, Spare - Lost.size());
-  return true;
+  return !Target.Source->fansOut() ||
+         this->admitAtQueues(Now, Target, Spare - Lost.size(), Out);
 }
 
-void Engine::leaveOutOverloaded(TimePoint Now, Call &Target, size_t Spare) {
-  if (Spare == 0) {
-    return;
-  }
-  auto Limit = std::chrono::duration_cast<Duration>(Target.Source->Target *
-                                                    OverloadShare);
+bool Engine::admitAtQueues(TimePoint Now, Call &Target, size_t Spare,
+                           Actions &Out) {
+  auto Punctual = std::chrono::duration_cast<Duration>(Target.Source->Target *
+                                                       OverloadShare);
+  auto Useful =
+      std::chrono::duration_cast<Duration>(Target.Source->Target * RefuseShare);
   Duration Usual = this->usualLatency(*Target.Source);
   std::vector<std::pair<Duration, Part *>> Late;
+  size_t Overloaded = 0;
   for (Part &Entry : Target.Parts) {
     Server *Best = Entry.Phase == PartPhase::Waiting
                        ? this->choose(Now, Target, Entry, false)
@@ -89,15 +95,26 @@
       continue;
     }
     Duration Expected = expectedTime(Now, *Best, Usual);
-    if (Expected > Limit) {
+    if (Expected > Punctual) {
       Late.emplace_back(Expected, &Entry);
     }
+    // Without a queue of its own attempts the estimate may be out of date, and
+    // only an attempt can correct it.
+    Overloaded += Expected > Useful && hasLongQueue(Now, *Best) ? 1 : 0;
+  }
+  if (Overloaded > Spare) {
+    this->refuse(Target.Id,
+                 {RefusalReason::Overloaded, false, OverloadRetryAfter}, Out,
+                 summarise(Target));
+    this->Calls.erase(Target.Id.Value);
+    return false;
   }
   std::sort(Late.begin(), Late.end(), std::greater<>());
   Late.resize(std::min(Late.size(), Spare));
   for (auto &[Expected, Entry] : Late) {
     this->leaveOut(Target, *Entry);
   }
+  return true;
 }
 
 void Engine::leaveOut(Call &Target, Part &Which) {
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -203,7 +203,8 @@
   void refuse(CallId Id, const Refusal &Reason, Actions &Out,
               CallSummary Summary = {});
   bool admit(base::TimePoint Now, Call &Target, Actions &Out);
-  void leaveOutOverloaded(base::TimePoint Now, Call &Target, size_t Spare);
+  bool admitAtQueues(base::TimePoint Now, Call &Target, size_t Spare,
+                     Actions &Out);
   void leaveOut(Call &Target, Part &Which);
   Call *find(uint64_t Id);
 
--- a/src/forward/engine_progress.cpp
+++ b/src/forward/engine_progress.cpp
@@ -19,8 +19,6 @@
 constexpr Duration EarlyMargin = std::chrono::milliseconds(14);
 /** A late answer waits for all shards until this many targets have passed. */
 constexpr int LateFactor = 2;
-/** Time in which servers that shed load usually have room again. */
-constexpr std::chrono::milliseconds OverloadRetryAfter(150);
 
 /** @return Whether an answer without the missing shards is better now. */
 bool isTimeForPartial(TimePoint Now, const Call &Target) {
--- a/tests/forward_load_test.cpp
+++ b/tests/forward_load_test.cpp
@@ -3,7 +3,10 @@
 #include "forward_harness.h"
 
 #include <catch2/catch.hpp>
+#include <deque>
 #include <map>
+#include <utility>
+#include <vector>
 
 using namespace hickorycrank;
 using namespace hickorycrank::tests;
@@ -65,6 +68,49 @@
   CHECK(Test.take<forward::SendAttempt>().size() == 10);
 }
 
+// Pattern: two shards of ten have lost most of their servers and only one may
+// be missing. Guards against queues there in which every request waits until
+// it times out, and against refusals after the queues are gone.
+TEST_CASE("a request is refused at once if needed shards are overloaded",
+          "[forward]") {
+  ForwardHarness Test = ForwardHarness::tenShards();
+  std::vector<forward::SendAttempt> Queued;
+  std::deque<std::pair<base::TimePoint, forward::SendAttempt>> Running;
+  size_t Asked = 0;
+  std::vector<forward::RespondCall> Final;
+  // A request each 2 ms; eight shards reply after 20 ms.
+  for (; Final.empty() && Asked < 100; ++Asked) {
+    Test.ask("wide.example", "/wide/x");
+    for (const auto &Sent : Test.take<forward::SendAttempt>()) {
+      if (Sent.Ref.Part == 3 || Sent.Ref.Part == 4) {
+        Queued.push_back(Sent);
+      } else {
+        Running.emplace_back(Test.Now + 20ms, Sent);
+      }
+    }
+    Final = Test.take<forward::RespondCall>();
+    Test.pass(2ms);
+    for (; !Running.empty() && Running.front().first <= Test.Now;
+         Running.pop_front()) {
+      Test.reply(Running.front().second, ForwardHarness::good("sig"));
+    }
+  }
+  REQUIRE(Final.size() == 1);
+  const forward::Refusal *Refused = ForwardHarness::refusal(Final[0]);
+  REQUIRE(Refused != nullptr);
+  CHECK(Refused->Reason == RefusalReason::Overloaded);
+  CHECK_FALSE(Refused->MayHaveRun);
+  CHECK(Refused->RetryAfter);
+  CHECK(Asked > 18); // Two rounds of nine slots.
+  for (const auto &Entry : Queued) {
+    Test.reply(Entry, ForwardHarness::good("sig"));
+  }
+  Test.take<forward::RespondCall>();
+  Test.take<forward::SendAttempt>();
+  Test.ask("wide.example", "/wide/x");
+  CHECK(Test.take<forward::SendAttempt>().size() == 10);
+}
+
 // Pattern: a burst of wide requests with time to spare fills the queues of all
 // servers. Guards against urgent requests that wait behind them, and against
 // wide ones that wait here for longer than a quarter of their target.
