--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -223,11 +223,13 @@
   void retryOrFail(base::TimePoint Now, Call &Owner, uint32_t Index,
                    Actions &Out);
   void abandonLive(Call &Owner, uint32_t Index, Actions &Out);
-  void takeError(base::TimePoint Now, Call &Owner, const AttemptRef &Ref,
-                 Reply &&Received, Actions &Out);
   uint32_t maxOutstanding(const ServicePool &Pool) const;
   base::Duration timeForServer(base::TimePoint Now, const Call &Owner) const;
 
+  // Replies (engine_replies.cpp).
+  void takeError(base::TimePoint Now, Call &Owner, const AttemptRef &Ref,
+                 Reply &&Received, Actions &Out);
+
   // Progress (engine_progress.cpp).
   void advance(base::TimePoint Now, Call &Target, Actions &Out);
   bool concludeIfDone(base::TimePoint Now, Call &Target, Actions &Out);
