--- a/src/forward/engine_admission.cpp
+++ b/src/forward/engine_admission.cpp
@@ -82,7 +82,7 @@
                            Actions &Out) {
   auto Punctual = std::chrono::duration_cast<Duration>(Target.Source->Target *
                                                        OverloadShare);
-  auto Useful =
+  auto TooLate =
       std::chrono::duration_cast<Duration>(Target.Source->Target * RefuseShare);
   Duration Usual = this->usualLatency(*Target.Source);
   std::vector<std::pair<Duration, Part *>> Late;
@@ -100,7 +100,7 @@
     }
     // Without a queue of its own attempts the estimate may be out of date, and
     // only an attempt can correct it.
-    Overloaded += Expected > Useful && hasLongQueue(Now, *Best) ? 1 : 0;
+    Overloaded += Expected > TooLate && hasLongQueue(Now, *Best) ? 1 : 0;
   }
   if (Overloaded > Spare) {
     this->refuse(Target.Id,
--- a/src/forward/replica_func.h
+++ b/src/forward/replica_func.h
@@ -57,8 +57,8 @@
 bool hasFreeSlot(base::TimePoint Now, const Server &Target);
 
 /**
- * Tells whether a new attempt would queue for longer than all slots take to be
- * free once. Only servers with an attempt of this instance count, whose reply
+ * Tells whether a new attempt would wait for two rounds of the server's slots
+ * or more. Only servers with an attempt of this instance count, whose reply
  * will tell their load: reports of others' attempts are old by the time that
  * they are read.
  * @param Now Current time.
