Decode the rate limits that servers state, and log them

An operator could not tell whether a server had stated a limit or whether an instance had received it: the field was forwarded to callers and not read.

Now each reply's limit is decoded, the log has server.rate_limit when a server states another one, and /metrics counts the replies with one. The load report of a misdirected reply, which is from another server, is no longer taken for that of the expected one.

--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -249,6 +249,12 @@
     } else if (auto *Gone =
                    std::get_if<forward::CloseServerConnections>(&Action)) {
       this->Upstream.retire(Gone->Server);
+    } else if (auto *Limit = std::get_if<forward::LogRateLimit>(&Action)) {
+      this->EventLog.log(
+          Clock::now(), LogLevel::Info, "server.rate_limit",
+          {{"server", Limit->ServerId.Value},
+           {"per_second",
+            Limit->PerSecond ? std::to_string(*Limit->PerSecond) : "none"}});
     }
   }
   this->scheduleWake();
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -167,6 +167,7 @@
   Count("attempts_broken", EngineCounters.Broken);
   Count("connection_probes", EngineCounters.Probes);
   Count("late_replies", EngineCounters.LateReplies);
+  Count("rate_limit_replies", EngineCounters.RateLimitReplies);
   for (size_t I = 0; I < forward::RefusalReasonCount; ++I) {
     Count("refusals", EngineCounters.Refusals[I],
           {{"reason",
--- a/src/forward/action_type.h
+++ b/src/forward/action_type.h
@@ -3,6 +3,7 @@
 
 #include "forward/call_type.h"
 
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -43,8 +44,15 @@
   std::string Address; ///< "IP:port".
 };
 
-using Action = std::variant<SendAttempt, AbandonAttempt, RespondCall,
-                            CloseServerConnections, ProbeConnection>;
+/** Log that a server states another rate limit than before. */
+struct LogRateLimit {
+  base::ServerId ServerId;
+  std::optional<double> PerSecond; ///< Nothing if it no longer states one.
+};
+
+using Action =
+    std::variant<SendAttempt, AbandonAttempt, RespondCall,
+                 CloseServerConnections, ProbeConnection, LogRateLimit>;
 using Actions = std::vector<Action>;
 
 } // namespace hickorycrank::forward
--- a/src/forward/call_type.h
+++ b/src/forward/call_type.h
@@ -42,6 +42,9 @@
   bool NotExecuted = false; ///< Rejected without being executed.
   bool Misdirected = false; ///< A different server is using the address.
   std::optional<LoadReport> Load;
+  /** Requests per second that the server accepts from all instances together;
+   * nothing if it states no limit. */
+  std::optional<double> RateLimit;
 };
 
 /** Why an attempt ended without a reply. */
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -41,7 +41,8 @@
   uint64_t NotSent = 0;
   uint64_t Broken = 0;
   uint64_t Probes = 0;
-  uint64_t LateReplies = 0; ///< Of abandoned attempts.
+  uint64_t LateReplies = 0;      ///< Of abandoned attempts.
+  uint64_t RateLimitReplies = 0; ///< Replies that state a rate limit.
   std::array<uint64_t, RefusalReasonCount> Refusals{};
 };
 
@@ -232,6 +233,8 @@
                                 const Call &CurrentCall) const;
 
   // Replies (engine_replies.cpp).
+  void recordStatements(base::TimePoint Now, Server &Backend,
+                        const Reply &Received, Actions &Out);
   void handleErrorReply(base::TimePoint Now, Call &CurrentCall,
                         const AttemptRef &Ref, Reply &&Received, Actions &Out);
 
--- a/src/forward/engine_replies.cpp
+++ b/src/forward/engine_replies.cpp
@@ -35,8 +35,9 @@
                                         : AttemptOutcome::Failed;
     recordAttemptEnd(Now, *Backend, Ref, Outcome);
     Backend->Misdirected = Backend->Misdirected || Received.Misdirected;
-    if (Received.Load) {
-      recordLoad(Now, *Backend, *Received.Load);
+    // A misdirected reply is from another server.
+    if (!Received.Misdirected) {
+      this->recordStatements(Now, *Backend, Received, Out);
     }
   }
   this->Counters.Shed += Received.NotExecuted ? 1 : 0;
@@ -62,6 +63,18 @@
   this->advance(Now, *CurrentCall, Out);
 }
 
+void Engine::recordStatements(TimePoint Now, Server &Backend,
+                              const Reply &Received, Actions &Out) {
+  if (Received.Load) {
+    recordLoad(Now, Backend, *Received.Load);
+  }
+  this->Counters.RateLimitReplies += Received.RateLimit ? 1 : 0;
+  if (Backend.RateLimit != Received.RateLimit) {
+    Backend.RateLimit = Received.RateLimit;
+    Out.push_back(LogRateLimit{Backend.Entry.Id, Received.RateLimit});
+  }
+}
+
 void Engine::handleErrorReply(TimePoint Now, Call &CurrentCall,
                               const AttemptRef &Ref, Reply &&Received,
                               Actions &Out) {
--- a/src/forward/server_type.h
+++ b/src/forward/server_type.h
@@ -73,6 +73,9 @@
   std::optional<LoadReport> Load;
   base::TimePoint LoadAt;
   uint32_t OutstandingAtLoad = 0; ///< Size of Outstanding at LoadAt.
+  /** Requests per second that it accepts from all instances together, according
+   * to its last reply; nothing if it states no limit. */
+  std::optional<double> RateLimit;
 };
 
 } // namespace hickorycrank::forward
--- a/src/net/forward_header_func.cpp
+++ b/src/net/forward_header_func.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
+#include <cmath>
 
 namespace hickorycrank::net {
 
@@ -85,4 +86,15 @@
   return forward::LoadReport{Values[0], Values[1], Values[2]};
 }
 
+std::optional<double> parseRateLimit(std::string_view Text) {
+  double PerSecond = 0;
+  const char *Stop = Text.data() + Text.size();
+  auto [End, Status] = std::from_chars(Text.data(), Stop, PerSecond);
+  if (Status != std::errc() || End != Stop || !std::isfinite(PerSecond) ||
+      PerSecond < 0) {
+    return std::nullopt;
+  }
+  return PerSecond;
+}
+
 } // namespace hickorycrank::net
--- a/src/net/forward_header_func.h
+++ b/src/net/forward_header_func.h
@@ -32,6 +32,13 @@
  */
 std::optional<forward::LoadReport> parseLoad(std::string_view Text);
 
+/**
+ * Reads a rate limit.
+ * @param Text Requests per second, a decimal number.
+ * @return The limit, or nothing unless it is a finite number of at least 0.
+ */
+std::optional<double> parseRateLimit(std::string_view Text);
+
 } // namespace hickorycrank::net
 
 #endif
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -206,6 +206,7 @@
   Taken.NotExecuted = Message.find(Names.NotExecuted) != Message.end();
   Taken.Misdirected = Message.result() == http::status::misdirected_request;
   Taken.Load = parseLoad(Message[Names.ServerLoad]);
+  Taken.RateLimit = parseRateLimit(Message[Names.RateLimit]);
   Taken.Fields = endToEndFields(Message);
   Taken.Body = std::move(Message.body());
   return Taken;
--- a/src/net/upstream_type.h
+++ b/src/net/upstream_type.h
@@ -18,6 +18,7 @@
   std::string Signature;      ///< Proves that a server ran the request.
   std::string ExpectedServer; ///< Only this server may run the request.
   std::string ServerLoad;     ///< Running, waiting and slots, by commas.
+  std::string RateLimit;      ///< Requests per second that a server accepts.
   std::string NotExecuted;    ///< The server did not run the request.
   std::string PartSignatures; ///< Signatures of the parts of an answer.
   std::string MissingParts;   ///< Number of shards that are left out.
