--- a/tests/forward_harness.h
+++ b/tests/forward_harness.h
@@ -15,8 +15,10 @@
  * its actions. */
 class ForwardHarness {
 public:
-  explicit ForwardHarness(limits::ExtraAttemptLimits Extra = {0.2, 50})
-      : Engine(forward::EngineOptions{base::FailureDomainId("a"), Extra}, 7) {}
+  explicit ForwardHarness(limits::ExtraAttemptLimits Extra = {0.2, 50},
+                          uint64_t Seed = 7)
+      : Engine(forward::EngineOptions{base::FailureDomainId("a"), Extra},
+               Seed) {}
 
   /** @return A route to the service "one". */
   static forward::Route singleServiceRoute(bool Idempotent) {
