Soak servers that state rate limits, with two mutants

The soak's servers stated no limits, so that it could not see LIMIT. A server may now state one at random moments; in the calm phase one server of each service does, and the requests of all instances in 4 s are held to one and a half times it and 5.

--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -20,6 +20,11 @@
     ("leaving servers get work", "src/forward/replica.cpp",
      "return !Backend.Entry.Leaving && !Backend.Misdirected;",
      "return !Backend.Misdirected;"),
+    ("rate limits of servers are ignored", "src/forward/replica.cpp",
+     "return acceptsAt(Criteria.Now, Backend, Criteria.Instances) <= "
+     "Criteria.Now;", "return true;"),
+    ("each instance takes a whole rate limit", "src/limits/rate_share_func.cpp",
+     "static_cast<double>(std::max<size_t>(1, Instances))", "1"),
     ("refusals say not run", "src/forward/engine_progress.cpp",
      "[](const Part &Entry) { return Entry.PossiblyRun > 0; }",
      "[](const Part &) { return false; }"),
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -53,11 +53,13 @@
         if known is None or known[:2] != (target, body):
             self.fail(f"{server.name} ran {attempt} that nobody sent so")
         left = server.leaving_since
-        calm = now - self.calm_since > STABLE_S
-        if left and now - left > DRAIN_S and calm:
+        if left and now - left > DRAIN_S and self.calm(now):
             self.fail(f"{server.name} got work {now - left:.1f} s after it "
                       "reported that it leaves")
 
+    def calm(self, now):
+        return now - self.calm_since > STABLE_S
+
     def fail(self, text):
         self.violations.append(text)
         print("VIOLATION", text, flush=True)
@@ -310,7 +312,12 @@
 
     async def harm_server(self, server):
         fault = self.rng.choice(["lose", "garble", "extra", "stale", "shed",
-                                 "pause"])
+                                 "pause", "limit"])
+        if fault == "limit":
+            server.state_limit(round(self.rng.uniform(0, 8), 1))
+            await asyncio.sleep(self.rng.uniform(2, 8))
+            server.state_limit(None)
+            return
         server.fault = fault
         await asyncio.sleep(self.rng.uniform(1, 3))
         server.fault = None
@@ -401,11 +408,19 @@
                             and not s.leaving_since))
             for service in services))
 
+    def limit_some(self):
+        """One server of each service that does not leave while calm."""
+        for service in self.shards() + ["single"]:
+            staying = [s for s in self.servers if s.service == service
+                       and not s.leaving_since]
+            staying[-1].state_limit(round(self.rng.uniform(0.5, 3), 1))
+
     async def run(self):
         self.refused = []
         await self.start()
         callers = [asyncio.ensure_future(self.caller(i)) for i in range(8)]
         await self.faults()
+        self.limit_some()
         await asyncio.sleep(STABLE_S)
         self.check_unread_log()
         self.counts.clear()
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -8,6 +8,8 @@
 
 RECORD_BYTES = 16
 SLOW_RUN_S = 0.7  # Longer than a stopping instance serves after its balancer.
+LIMIT_WINDOW_S = 4.0  # The rate of requests to a server is taken over it.
+TOLD_S = 1.0  # All instances have received a limit after this time.
 ATTEMPT = "x-hickorycrank-attempt-id"
 REMAINING = "x-hickorycrank-timeout-remaining"
 EXPECTED = "x-hickorycrank-expected-instance"
@@ -179,6 +181,9 @@
         self.rng, self.ledger = rng, ledger
         self.fault = None  # lose, garble, extra, stale, shed or pause
         self.leaving_since = None
+        self.rate_limit = None  # Requests a second that its replies state.
+        self.limited_since = 0.0
+        self.arrivals = []  # Times of requests since the limit is stated.
         self.proxy = Proxy()
         self.born = int(time.time() * 1000)
 
@@ -193,6 +198,23 @@
             "state": "draining" if self.leaving_since else "ready",
             "cold-remaining-ms": 0, "sequence": 1, "born": self.born})
 
+    def state_limit(self, per_second):
+        """Names a rate limit in all replies from now on; None ends it."""
+        self.rate_limit, self.arrivals = per_second, []
+        self.limited_since = time.monotonic()
+
+    def count_arrival(self):
+        """Checks the rate of requests from all instances together."""
+        now = time.monotonic()
+        self.arrivals = [t for t in self.arrivals if now - t < LIMIT_WINDOW_S]
+        self.arrivals.append(now)
+        told = now - self.limited_since > LIMIT_WINDOW_S + TOLD_S
+        allowed = 1.5 * self.rate_limit * LIMIT_WINDOW_S + 5
+        if told and len(self.arrivals) > allowed and self.ledger.calm(now):
+            self.ledger.fail(
+                f"{self.name} got {len(self.arrivals)} requests in "
+                f"{LIMIT_WINDOW_S} s and states {self.rate_limit} a second")
+
     async def accept(self, reader, writer):
         try:
             while request := await read_request(reader):
@@ -209,6 +231,9 @@
         if headers.get(EXPECTED) != self.name:
             writer.write(response(421, echo, b""))
             return True
+        if self.rate_limit is not None:
+            echo["Server-Limit"] = str(self.rate_limit)
+            self.count_arrival()
         if self.fault == "shed" and self.rng.random() < 0.5:
             writer.write(response(
                 503, {**echo, "X-Hickorycrank-Not-Executed": "1"}, b""))
