Soak a store that returns from a copy, with two mutants

It may now return from a copy and give revisions out again, at random moments and before the calm phase, in which a new version must be in force at each instance after 3 s.

--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -25,6 +25,13 @@
      "Criteria.Now;", "return true;"),
     ("each instance takes a whole rate limit", "src/limits/rate_share_func.cpp",
      "static_cast<double>(std::max<size_t>(1, Instances))", "1"),
+    ("revisions order changes over restores",
+     "src/daemon/gateway_view.cpp",
+     "    if (Entry.Position <= this->ConfigurationPosition) {",
+     "    if (Entry.Position.Revision <= "
+     "this->ConfigurationPosition.Revision) {"),
+    ("a restored store is watched on", "src/discovery/read_cursor.cpp",
+     "  if (Epoch == this->Position.Epoch) {", "  if (true) {"),
     ("refusals say not run", "src/forward/engine_progress.cpp",
      "[](const Part &Entry) { return Entry.PossiblyRun > 0; }",
      "[](const Part &) { return false; }"),
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -28,6 +28,8 @@
 DRAIN_S = 3.0    # A leaving server gets no new work after this time.
 STABLE_S = 4.0   # Without impairment of the store or an instance.
 CUT_SLACK_S = 0.5
+APPLY_S = 3.0    # A version is in force at all instances after this time.
+LEASE_S = 2.5    # Entries of servers that have ended lapse after this time.
 SLOW_SHARE = 0.2  # Of the requests that are sent once.
 BALANCER_S = 2.0  # A stopping instance gets new requests for this time.
 PIPE_BYTES = 4096      # For the log of the first instance, which nobody reads.
@@ -143,6 +145,8 @@
         return [f"g{self.generation}-s{i}" for i in range(4)]
 
     def publish(self):
+        if self.rng.random() < 0.5:
+            self.store.keep_copy()  # Which then lacks this version.
         self.version += self.rng.randint(1, 3)
         self.shard_sets.append(set(self.shards()))
         route = {"host": "wide.example", "kind": "safe", "priority": 1,
@@ -151,6 +155,8 @@
         routes = [
             {**route, "name": "wide", "prefix": "/wide/", "top-k": TOP_K,
              "gather": self.shards(), "min-shard-fraction": 0.75},
+            {**route, "name": "newest", "prefix": f"/v{self.version}/",
+             "host": "newest.example", "service": "single"},
             {**route, "name": "once", "prefix": "/once/", "kind": "unsafe",
              "host": "once.example", "service": "single"}]
         services = [{"name": s, "health-path": "/health", "protocol": "h1",
@@ -338,8 +344,36 @@
         self.store.mode = "up"
         if self.rng.random() < 0.3:
             self.store.forget_history()
+        if self.rng.random() < 0.5:
+            await self.restore_store()
         self.ledger.calm_since = time.monotonic()
 
+    async def restore_store(self):
+        """Returns the store from its copy; leases of lost servers lapse."""
+        gone = self.store.restore()
+        self.ledger.calm_since = time.monotonic()
+        await asyncio.sleep(LEASE_S)
+        for key in gone:
+            if not any(key == f"servers/{s.name}" for s in self.servers):
+                self.store.delete(key)
+
+    async def check_newest(self):
+        """A version is in force in time, also after a restored store."""
+        self.publish()
+        path = f"/v{self.version}/x"
+        await asyncio.sleep(APPLY_S)
+        for gateway in self.gateways:
+            attempt = f"{self.rng.getrandbits(64):016x}"
+            self.ledger.sent[attempt] = (path, b"")
+            client = Connections()
+            answer = await client.ask(
+                gateway.ip, FRONT, "GET", path,
+                {"Host": "newest.example", ATTEMPT: attempt,
+                 "X-Hickorycrank-Timeout-Remaining": "2000"}, b"", 2.5)
+            if answer is None or answer[0] != 200:
+                self.ledger.fail(f"version {self.version} is not in force "
+                                 f"{APPLY_S} s after its change: {answer}")
+
     async def repartition(self):
         old = [s for s in self.servers if s.service in self.shards()]
         self.generation += 1
@@ -421,10 +455,12 @@
         callers = [asyncio.ensure_future(self.caller(i)) for i in range(8)]
         await self.faults()
         self.limit_some()
+        # The next revisions are given out again: the newest version's too.
+        await self.restore_store()
         await asyncio.sleep(STABLE_S)
         self.check_unread_log()
         self.counts.clear()
-        await self.drain_while_calm()
+        await asyncio.gather(self.drain_while_calm(), self.check_newest())
         calm = dict(self.counts)
         self.stop = True
         await asyncio.gather(*callers)
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -110,7 +110,8 @@
         self.floor = 10
         self.changed = asyncio.Event()
         self.mode = "up"  # up, busy or silent
-        self.impaired_at = 0.0
+        self.epoch = 1
+        self.keep_copy()
 
     def put(self, key, value):
         self.revision += 1
@@ -130,6 +131,22 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def keep_copy(self):
+        """Keeps the contents to which restore() returns."""
+        self.copy = dict(self.items), self.revision
+
+    def restore(self):
+        """Returns to the copy, and gives its later revisions out again. Then
+        all that was written since is written again by its writers."""
+        lost = {k: v for k, v in self.items.items() if self.copy[0].get(k) != v}
+        gone = [k for k in self.copy[0] if k not in self.items]
+        self.items, self.revision = dict(self.copy[0]), self.copy[1]
+        self.epoch += 1
+        self.forget_history()
+        for key, item in lost.items():
+            self.put(key, base64.b64decode(item["value"]).decode())
+        return gone
+
     def forget_history(self):
         self.floor = self.revision
         self.log = []
@@ -142,7 +159,8 @@
         try:
             while request := await read_request(reader):
                 status, body = await self.answer(request[1])
-                writer.write(response(status, {}, json.dumps(body).encode()))
+                writer.write(response(status, {"Store-Era": self.epoch},
+                                      json.dumps(body).encode()))
                 await writer.drain()
         except ConnectionError:
             pass
@@ -159,10 +177,13 @@
             return 200, {"items": list(self.items.values()), "has-more": False,
                          "as-of": self.revision}
         after = int(query["after"])
-        if after < self.floor:
+        if after < self.floor or after > self.revision:
             return 410, {}
         deadline = time.monotonic() + int(query["wait-ms"]) / 1000
+        epoch = self.epoch
         while True:
+            if epoch != self.epoch:
+                return 410, {}
             events = [e for e in self.log if e["revision"] > after]
             left = deadline - time.monotonic()
             if events or left <= 0:
