Keep a server leaving until its next start

The newest entry by the store's order won; the restored copy listed the server as ready, as its earlier entry said, and its writer had ended, so that nobody wrote it again. The deletion was deferred besides, because the store had just returned.

A server's own reports have an order that no store changes: within one start, leaving is final. ServerSet now remembers departures for 60 s after the entry was last listed. The test failed before in both forms (entry changed back, entry removed and listed again) and passes.

--- a/src/forward/server_set.cpp
+++ b/src/forward/server_set.cpp
@@ -2,11 +2,17 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace hickorycrank::forward {
 
 namespace {
 
+/** Time for which it is remembered that a server has reported that it leaves,
+ * after its entry has vanished. A store that is restored from a copy may list
+ * the server's earlier entry; such copies are some seconds old. */
+constexpr base::Duration DepartureMemory = std::chrono::seconds(60);
+
 /** @return Whether both entries describe the same incarnation of a server; an
  * unknown start time matches any other. */
 bool sameIncarnation(const ServerEntry &Left, const ServerEntry &Right) {
@@ -22,7 +28,11 @@
 ServerSet::apply(base::TimePoint Now, const std::vector<ServerEntry> &Entries) {
   std::vector<ServerKey> EndedKeys;
   std::set<std::string> Listed;
-  for (const ServerEntry &Entry : Entries) {
+  std::erase_if(this->Departures, [&](const auto &Known) {
+    return Now - Known.second.ListedAt > DepartureMemory;
+  });
+  for (ServerEntry Entry : Entries) {
+    Entry.Leaving = this->hasDeparted(Now, Entry);
     Listed.insert(Entry.Id.Value);
     auto Existing = this->ById.find(Entry.Id.Value);
     if (Existing != this->ById.end() &&
@@ -35,7 +45,7 @@
       this->add(Now, Entry);
       continue;
     }
-    Existing->second->Entry = Entry;
+    Existing->second->Entry = std::move(Entry);
   }
   std::vector<std::string> Unlisted;
   for (const auto &[Id, Entry] : this->ById) {
@@ -50,6 +60,20 @@
   return EndedKeys;
 }
 
+bool ServerSet::hasDeparted(base::TimePoint Now, const ServerEntry &Entry) {
+  // Without a start time, a new incarnation cannot be told from the old one.
+  if (Entry.StartedAt == 0) {
+    return Entry.Leaving;
+  }
+  auto Known = this->Departures.find(Entry.Id.Value);
+  bool Departed = Entry.Leaving || (Known != this->Departures.end() &&
+                                    Known->second.StartedAt == Entry.StartedAt);
+  if (Departed) {
+    this->Departures[Entry.Id.Value] = {Entry.StartedAt, Now};
+  }
+  return Departed;
+}
+
 ServicePool &ServerSet::pool(const std::string &Service) {
   return this->Pools[Service];
 }
--- a/src/forward/server_set_base.h
+++ b/src/forward/server_set_base.h
@@ -27,7 +27,8 @@
   /**
    * Replaces the list of servers. If the start time, service or address of a
    * known id has changed, the entry is a new incarnation of the server and gets
-   * a new key.
+   * a new key. A server that has reported that it leaves stays leaving, even if
+   * an older entry of the same start is listed again.
    * @param Now Current time.
    * @param Entries All listed servers.
    * @return Keys of the incarnations that ended.
@@ -56,6 +57,13 @@
   size_t size() const { return this->ById.size(); }
 
 private:
+  /** The start of a server that has reported that it leaves. */
+  struct Departure {
+    uint64_t StartedAt = 0;   ///< In Unix ms.
+    base::TimePoint ListedAt; ///< When an entry of this start was last listed.
+  };
+
+  bool hasDeparted(base::TimePoint Now, const ServerEntry &Entry);
   Server &add(base::TimePoint Now, const ServerEntry &Entry);
   void remove(const std::string &Id);
 
@@ -63,6 +71,7 @@
   std::map<std::string, Server *> ById;
   /** Entries are never erased, because calls hold pointers to pools. */
   std::unordered_map<std::string, ServicePool> Pools;
+  std::unordered_map<std::string, Departure> Departures; ///< By id.
   uint64_t NextKey = 1;
 };
 
--- a/tests/forward_rules_test.cpp
+++ b/tests/forward_rules_test.cpp
@@ -104,6 +104,33 @@
   CHECK(mergeGreatest({}, 3).empty());
 }
 
+// Guards against new work at a server that has reported that it leaves, if the
+// store is restored from a copy in which it was still ready.
+TEST_CASE("a leaving server is not ready again before its next start",
+          "[forward]") {
+  forward::ServerSet Servers;
+  base::TimePoint Now{1h};
+  auto Entries = makeEntries({"a"});
+  Entries[0].StartedAt = 5;
+  auto IsLeaving = [&Servers] {
+    return Servers.all().at("i-0")->Entry.Leaving;
+  };
+  Servers.apply(Now, Entries);
+  Entries[0].Leaving = true;
+  Servers.apply(Now, Entries);
+  REQUIRE(IsLeaving());
+  Entries[0].Leaving = false;
+  Servers.apply(Now + 1s, Entries);
+  CHECK(IsLeaving());
+  // The same after its entry was removed.
+  Servers.apply(Now + 2s, {});
+  Servers.apply(Now + 20s, Entries);
+  CHECK(IsLeaving());
+  Entries[0].StartedAt = 6;
+  Servers.apply(Now + 21s, Entries);
+  CHECK_FALSE(IsLeaving());
+}
+
 // Guards against exceeding the common limit with the extra attempts of all
 // instances together, for any position of the window.
 TEST_CASE("instances that share a budget stay within its limit", "[forward]") {
