--- a/soak/soak.py
+++ b/soak/soak.py
@@ -29,6 +29,7 @@
 STABLE_S = 4.0   # Without impairment of the store or an instance.
 CUT_SLACK_S = 0.5
 APPLY_S = 3.0    # A version is in force at all instances after this time.
+LOST_VERSIONS = 20  # More than all other writes until the next version.
 LEASE_S = 2.5    # Entries of servers that have ended lapse after this time.
 SLOW_SHARE = 0.2  # Of the requests that are sent once.
 BALANCER_S = 2.0  # A stopping instance gets new requests for this time.
@@ -145,8 +146,6 @@
         return [f"g{self.generation}-s{i}" for i in range(4)]
 
     def publish(self):
-        if self.rng.random() < 0.5:
-            self.store.keep_copy()  # Which then lacks this version.
         self.version += self.rng.randint(1, 3)
         self.shard_sets.append(set(self.shards()))
         route = {"host": "wide.example", "kind": "safe", "priority": 1,
@@ -357,6 +356,15 @@
             if not any(key == f"servers/{s.name}" for s in self.servers):
                 self.store.delete(key)
 
+    async def lose_versions(self):
+        """Restores the store from a copy that lacks some versions. Only the
+        last one is written again, so that the next ones get their revisions."""
+        self.store.keep_copy()
+        for _ in range(LOST_VERSIONS):
+            self.publish()
+        await asyncio.sleep(APPLY_S)
+        await self.restore_store()
+
     async def check_newest(self):
         """A version is in force in time, also after a restored store."""
         self.publish()
@@ -381,6 +389,8 @@
             for domain in DOMAINS:
                 await self.add_server(service, domain)
         await asyncio.sleep(1)
+        if self.rng.random() < 0.5:
+            self.store.keep_copy()  # Which then lacks this version.
         self.publish()
         await asyncio.sleep(3)
         await asyncio.gather(*(self.leave(s) for s in old))
@@ -455,8 +465,7 @@
         callers = [asyncio.ensure_future(self.caller(i)) for i in range(8)]
         await self.faults()
         self.limit_some()
-        # The next revisions are given out again: the newest version's too.
-        await self.restore_store()
+        await self.lose_versions()
         await asyncio.sleep(STABLE_S)
         self.check_unread_log()
         self.counts.clear()
