End replies that send bytes without end

A new test sends 24 MiB in nine forms.

Now all bytes since the request count: a reply ends as broken after 8 MiB, or after 256 KiB if the unfinished replies on all connections exceed 64 MiB together. The shared HTTP client limits what its parser has not taken to 128 KiB (store, peers, template tier).

--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -197,6 +197,7 @@
   Count("connections_reused", UpstreamCounters.Reused);
   Count("foreign_replies", UpstreamCounters.ForeignReplies);
   Count("surplus_bytes", UpstreamCounters.SurplusBytes);
+  Count("oversized_replies", UpstreamCounters.OversizedReplies);
   Count("abandoned_closed", UpstreamCounters.AbandonedClosed);
   Count("store_calls", this->Reader->counters().Calls);
   Count("store_failures", this->Reader->counters().Failures);
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -15,6 +15,10 @@
 
 namespace {
 
+/** Maximum size of input that the parser has not taken yet; it bounds chunk
+ * extensions and trailers, which have no other limit. */
+constexpr size_t MaxUnparsedBytes = 131'072;
+
 /**
  * Classifies an error of the transport.
  * @param Failure The error.
@@ -43,7 +47,7 @@
 HttpConnection::HttpConnection(asio::io_context &Context,
                                std::weak_ptr<HttpPool> Owner, PoolLimits Limits)
     : Stream(asio::make_strand(Context)), Owner(std::move(Owner)),
-      Limits(Limits) {}
+      Limits(Limits), Buffer(MaxUnparsedBytes) {}
 
 void HttpConnection::open(const config::Endpoint &Target) {
   tcp::endpoint Address(asio::ip::make_address(Target.Address), Target.Port);
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -28,7 +28,15 @@
 /** Idle time if the server states none, and its margin if it does. */
 constexpr base::Duration DefaultKeepAlive = std::chrono::seconds(8);
 constexpr base::Duration KeepAliveMargin = std::chrono::milliseconds(700);
+/** Maximum size of a reply with all that precedes it on the connection: a
+ * server may send bytes without end, also in a chunk's extension, a trailer or
+ * interim replies, which the parser does not limit. */
 constexpr uint64_t MaxReplyBytes = 8'388'608;
+/** Maximum size of the unfinished replies on all connections together; the
+ * smallest instances have 380 MB of memory. */
+constexpr uint64_t MaxTotalReplyBytes = 67'108'864;
+/** Replies up to this size are received even beyond MaxTotalReplyBytes. */
+constexpr uint64_t SmallReplyBytes = 262'144;
 
 } // namespace
 
@@ -87,6 +95,7 @@
   this->Phase = UpstreamPhase::Busy;
   this->PhaseSince = Clock::now();
   this->Abandoned = false;
+  this->ReceivedBytes = 0;
   const forward::SendAttempt &Order = this->Current->Order;
   this->Outgoing = this->Current->Source->Message;
   auto Left =
@@ -131,6 +140,12 @@
     this->fail(forward::AttemptFailure::Broken);
     return;
   }
+  this->ReceivedBytes += Count;
+  if (this->isReplyTooLarge()) {
+    ++this->Owner.Counters.OversizedReplies;
+    this->fail(forward::AttemptFailure::Broken);
+    return;
+  }
   auto Room = this->Buffer.prepare(Count);
   asio::buffer_copy(Room, asio::buffer(this->Chunk, Count));
   this->Buffer.commit(Count);
@@ -140,6 +155,12 @@
   }
 }
 
+bool UpstreamConnection::isReplyTooLarge() const {
+  return this->ReceivedBytes > MaxReplyBytes ||
+         (this->ReceivedBytes > SmallReplyBytes &&
+          this->Owner.receivedBytes() > MaxTotalReplyBytes);
+}
+
 void UpstreamConnection::parse(bool End) {
   // Each round reads one reply; replies to other attempts are dropped.
   while (this->Phase == UpstreamPhase::Busy) {
@@ -239,6 +260,7 @@
 void UpstreamConnection::becomeIdle() {
   this->Phase = UpstreamPhase::Idle;
   this->PhaseSince = Clock::now();
+  this->ReceivedBytes = 0;
   this->Abandoned = false;
   if (this->Retired) {
     this->close();
--- a/src/net/upstream_connection_base.h
+++ b/src/net/upstream_connection_base.h
@@ -68,6 +68,8 @@
   }
   /** @return Phase. */
   UpstreamPhase phase() const { return this->Phase; }
+  /** @return Bytes received of the reply in progress. */
+  uint64_t receivedBytes() const { return this->ReceivedBytes; }
   /** @return The server. */
   forward::ServerKey server() const { return this->Server; }
   /** @param Now Current time. @param MaxIdle Longest idle time.
@@ -84,6 +86,7 @@
   void write();
   void read();
   void onRead(boost::beast::error_code Failure, size_t Count);
+  bool isReplyTooLarge() const;
   void parse(bool End);
   void finish(bool Reusable);
   bool isForeign(const Parser &Received) const;
@@ -100,8 +103,9 @@
   bool Probe = false; ///< The owner is told whether it opens.
   bool Abandoned = false;
   bool WritePending = false;
-  bool SawForeign = false;  ///< A reply to another attempt was dropped.
-  base::Duration KeepAlive; ///< Idle time that the server allows.
+  uint64_t ReceivedBytes = 0; ///< Since the request was written.
+  bool SawForeign = false;    ///< A reply to another attempt was dropped.
+  base::Duration KeepAlive;   ///< Idle time that the server allows.
   std::optional<UpstreamAttempt> Current;
   boost::beast::http::request<boost::beast::http::string_body> Outgoing;
   boost::beast::flat_buffer Buffer;
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -146,6 +146,16 @@
   return Count;
 }
 
+uint64_t UpstreamPool::receivedBytes() const {
+  uint64_t Sum = 0;
+  for (const auto &[Key, Connections] : this->Open) {
+    for (const Connection &Entry : Connections) {
+      Sum += Entry->receivedBytes();
+    }
+  }
+  return Sum;
+}
+
 void UpstreamPool::closed(const UpstreamConnection &Ended) {
   auto Found = this->Open.find(Ended.server());
   if (Found == this->Open.end()) {
--- a/src/net/upstream_pool_base.h
+++ b/src/net/upstream_pool_base.h
@@ -56,6 +56,8 @@
 
   /** @return Open or opening connections. */
   size_t connections() const;
+  /** @return Bytes of the unfinished replies on all connections. */
+  uint64_t receivedBytes() const;
   /** @return What was counted so far. */
   const UpstreamCounters &counters() const { return this->Counters; }
 
--- a/src/net/upstream_type.h
+++ b/src/net/upstream_type.h
@@ -58,9 +58,10 @@
   uint64_t Opened = 0;
   uint64_t ConnectFailed = 0;
   uint64_t Reused = 0;
-  uint64_t ForeignReplies = 0;  ///< Replies to other attempts, dropped.
-  uint64_t SurplusBytes = 0;    ///< Connections closed because of them.
-  uint64_t AbandonedClosed = 0; ///< Abandoned attempts without reply in time.
+  uint64_t ForeignReplies = 0;   ///< Replies to other attempts, dropped.
+  uint64_t SurplusBytes = 0;     ///< Connections closed because of them.
+  uint64_t OversizedReplies = 0; ///< Connections closed because of them.
+  uint64_t AbandonedClosed = 0;  ///< Abandoned attempts without reply in time.
 };
 
 } // namespace hickorycrank::net
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -181,6 +181,16 @@
     return Failure ? "" : Text;
   }
 
+  /** @return Whether a condition holds within a second. */
+  template <typename Condition> bool waitUntil(Condition Holds) {
+    for (int I = 0; I < 100 && !this->ask(Holds); ++I) {
+      std::this_thread::sleep_for(10ms);
+    }
+    return this->ask(Holds);
+  }
+
+  ScriptedServer &firstServer() { return this->S0; }
+
   /** @return Whether the peer received a heartbeat with the leaving flag. */
   bool peerReceivedLeave() {
     std::array<char, 4096> Datagram{};
@@ -283,6 +293,48 @@
   }
 }
 
+namespace {
+
+/** @return The start of a reply, then a pattern until 24 MiB are full. */
+std::string endlessReply(const std::string &Start, const std::string &Pattern) {
+  constexpr size_t Size = 24U << 20U;
+  std::string Bytes = Start;
+  while (Bytes.size() < Size) {
+    Bytes += Pattern;
+  }
+  return Bytes;
+}
+
+} // namespace
+
+// Guards against memory that grows and a caller that waits while a server sends
+// bytes that are no reply, in a head or a body, until its connection is closed.
+TEST_CASE("bytes without end are a failure at once", "[gateway]") {
+  std::string Filler(4'096, 'a');
+  std::string Unframed = "HTTP/1.1 200 OK\r\n\r\n";
+  std::string Chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string Bytes = GENERATE_COPY(
+      as<std::string>{}, endlessReply("", Filler),
+      endlessReply("HTTP/1.1 200 OK\r\nX-Field: ", Filler),
+      endlessReply("HTTP/1.1 200 OK\r\n", "X-Field: a\r\n"),
+      endlessReply(Unframed, Filler), endlessReply(Chunked + "1;", Filler),
+      endlessReply(Chunked, "1\r\na\r\n"),
+      endlessReply(Chunked + "0\r\n", "X-Field: a\r\n"),
+      endlessReply("", "HTTP/1.1 100 Continue\r\n\r\n"),
+      endlessReply("", "\r\n"));
+  GatewayFixture Test([&](const std::string &) { return ScriptedReply{Bytes}; },
+                      recordScript('b'));
+  base::TimePoint Begin = base::Clock::now();
+  auto Open = Test.send(nonIdempotentRequest("id1"));
+  INFO(Bytes.substr(0, 70));
+  CHECK(GatewayFixture::receive(Open).starts_with("HTTP/1.1 502"));
+  // The caller has 2 s.
+  CHECK(base::Clock::now() - Begin < 1s);
+  CHECK(Test.waitUntil([&](daemon::Gateway &) {
+    return Test.firstServer().closedByClient() == 1;
+  }));
+}
+
 // Guards against returning a truncated reply as complete, and against repeating
 // a non-idempotent request whose outcome is unknown.
 TEST_CASE("a reply that breaks off is a failure and nothing is repeated",
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -90,3 +90,24 @@
   REQUIRE(LearnedAt);
   CHECK(*LearnedAt - Store.unansweredSince() < 3s);
 }
+
+// Guards against memory that grows while a server sends a chunk's extension
+// without end: the parser does not limit its length.
+TEST_CASE("an endless chunk extension ends the exchange", "[fleet]") {
+  std::string Bytes =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;" +
+      std::string(8U << 20U, 'a');
+  ScriptedServer Server(
+      [&](const std::string &) { return ScriptedReply{Bytes}; });
+  boost::asio::io_context Context;
+  auto Pool = std::make_shared<net::HttpPool>(
+      Context, *config::parseEndpoint(Server.address()), net::PoolLimits{});
+  std::optional<net::ExchangeResult> Result;
+  Pool->send({}, base::Clock::now() + 5s, /*Fresh=*/false,
+             [&](net::ExchangeResult Ended) { Result = std::move(Ended); });
+  Context.run_for(3s);
+  REQUIRE(Result);
+  const auto *Failure = std::get_if<net::ExchangeError>(&*Result);
+  REQUIRE(Failure != nullptr);
+  CHECK(Failure->Fault == net::ExchangeFault::Garbage);
+}
