Limit chunk extensions and trailers of callers

The same cause as with servers' replies, found by looking elsewhere: a caller that sends a chunk's extension or a trailer without end was read until the header timeout, and all of it stayed in memory. The other HTTP server limits its unparsed input to 128 KiB as the client does.

--- a/src/net/forward_session.cpp
+++ b/src/net/forward_session.cpp
@@ -96,6 +96,11 @@
   if (Failure == http::error::need_more) {
     Failure = {};
   }
+  // The parser does not limit a chunk's extension or a trailer.
+  if (!Failure && !this->Current->is_done() &&
+      this->Buffer.size() > this->Server->Limits.MaxHeaderBytes) {
+    Failure = http::error::header_limit;
+  }
   if (Failure == http::error::body_limit) {
     ++this->Server->Counters.TooLarge;
     this->reject(413);
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -15,10 +15,6 @@
 
 namespace {
 
-/** Maximum size of input that the parser has not taken yet; it bounds chunk
- * extensions and trailers, which have no other limit. */
-constexpr size_t MaxUnparsedBytes = 131'072;
-
 /**
  * Classifies an error of the transport.
  * @param Failure The error.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -261,7 +261,7 @@
 
   beast::tcp_stream Stream;
   std::shared_ptr<HttpServer::State> Server;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MaxUnparsedBytes};
   std::optional<Parser> Current;
   std::function<void()> DisconnectCallback;
   uint64_t CallNumber = 0;
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -3,6 +3,7 @@
 
 #include "base/error_type.h"
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -31,6 +32,10 @@
   unsigned RetryAfterSeconds = 0; ///< Sent as Retry-After unless 0.
 };
 
+/** Maximum size of input that the parser has not taken yet; it bounds chunk
+ * extensions and trailers, which have no other limit. */
+inline constexpr size_t MaxUnparsedBytes = 131'072;
+
 /** How far an exchange got when it failed. */
 enum class ExchangeStage {
   Connecting, ///< No byte of the request has left.
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -335,6 +335,20 @@
   }));
 }
 
+// Guards against memory that grows while a caller sends a chunk's extension or
+// a trailer without end.
+TEST_CASE("a caller's chunk extension and trailer are limited", "[gateway]") {
+  const char *Start = GENERATE("1;", "0\r\nX-Field: ");
+  GatewayFixture Test(recordScript('a'), recordScript('b'));
+  // The limit of headers is 4096 bytes.
+  auto Open = Test.send("POST /o/x HTTP/1.1\r\nHost: o.example\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n" +
+                        std::string(Start) + std::string(100'000, 'a'));
+  base::TimePoint Begin = base::Clock::now();
+  CHECK(GatewayFixture::receive(Open).starts_with("HTTP/1.1 431"));
+  CHECK(base::Clock::now() - Begin < 1s);
+}
+
 // Guards against returning a truncated reply as complete, and against repeating
 // a non-idempotent request whose outcome is unknown.
 TEST_CASE("a reply that breaks off is a failure and nothing is repeated",
