Follow the reader's new text in the mutant of a failed store

The reader's protocol moved to ReadCursor, so that the text of the mutant "a failed store is not read again" was there 0 times and mutants.py ended at it.

--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -45,8 +45,8 @@
     ("log lines wait for their reader", "src/daemon/log_func.cpp",
      "Flags | O_NONBLOCK", "Flags & ~O_NONBLOCK"),
     ("a failed store is not read again", "src/daemon/store_reader.cpp",
-     "  this->PageCursor.clear();\n  this->retryLater();\n",
-     "  this->PageCursor.clear();\n"),
+     "  this->Cursor.abortListing();\n  this->retryLater();\n",
+     "  this->Cursor.abortListing();\n"),
 ]
 SECONDS = "10"
 MAX_SECONDS = 90  # A run without faults ends within half of it.
