Limit what is not body in a reply to 1 MiB

Cause: not the load alone. Up to 8 MiB of chunk headers were parsed, 1.4 million chunks, on the thread that serves all callers. Heads, chunk headers, trailers, interim replies and replies to other attempts now end at 1 MiB; a body still has 8 MiB.

--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -32,6 +32,10 @@
  * server may send bytes without end, also in a chunk's extension, a trailer or
  * interim replies, which the parser does not limit. */
 constexpr uint64_t MaxReplyBytes = 8'388'608;
+/** Maximum size of what is not body: heads, chunk headers, trailers, interim
+ * replies and replies to other attempts. They cost far more time for each byte
+ * than a body does. */
+constexpr uint64_t MaxFramingBytes = 1'048'576;
 /** Maximum size of the unfinished replies on all connections together; the
  * smallest instances have 380 MB of memory. */
 constexpr uint64_t MaxTotalReplyBytes = 67'108'864;
@@ -156,7 +160,9 @@
 }
 
 bool UpstreamConnection::isReplyTooLarge() const {
+  uint64_t BodyBytes = this->Incoming ? this->Incoming->get().body().size() : 0;
   return this->ReceivedBytes > MaxReplyBytes ||
+         this->ReceivedBytes > BodyBytes + MaxFramingBytes ||
          (this->ReceivedBytes > SmallReplyBytes &&
           this->Owner.receivedBytes() > MaxTotalReplyBytes);
 }
