Log failed view pulls; reproduce the incident of large configurations

Evidence: 64.45 s, all nine peers of front-cartago-4 begin to pull its view; each begins again every 0.805 s with its position unchanged at 154 and none succeeds by 75 s. front-cartago-4 sends 5.5 MB/s, all of its link of 48 Mbit/s. Versions 18 and 20 reach 2 of 10 instances in cartago, 3 of 10 in heredia and 10 of 10 in alajuela.

The log did not say why a pull failed. view.pull_failed now states the reason and the time that it took, which tells a timeout from an answer that cannot be decoded.

--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -5,6 +5,7 @@
 #include "net/fleet_codec_func.h"
 
 #include <boost/asio/buffer.hpp>
+#include <cmath>
 #include <utility>
 
 namespace hickorycrank::daemon {
@@ -24,6 +25,17 @@
 constexpr base::Duration StartupTime = std::chrono::milliseconds(1'000);
 constexpr base::Duration StartupPeriod = std::chrono::milliseconds(50);
 
+/** @return Why a pull failed, for the log. */
+std::string failureReason(const net::ExchangeResult &Result) {
+  if (const auto *Response = std::get_if<net::HttpResponse>(&Result)) {
+    return "status " + std::to_string(Response->Status);
+  }
+  const auto &Failure = std::get<net::ExchangeError>(Result);
+  bool Connecting = Failure.Stage == net::ExchangeStage::Connecting;
+  return std::string(Connecting ? "not connected: " : "no whole answer: ") +
+         net::toString(Failure.Fault);
+}
+
 } // namespace
 
 FleetNode::FleetNode(asio::io_context &Context,
@@ -125,23 +137,28 @@
                  std::to_string(Since.Epoch);
   this->PullPool->send(
       std::move(Request), Clock::now() + PullTimeout, /*Fresh=*/true,
-      [Weak = this->weak_from_this(),
-       StoreStable = Ahead->StoreStable](const net::ExchangeResult &Result) {
+      [Weak = this->weak_from_this(), StoreStable = Ahead->StoreStable,
+       StartedAt = Clock::now()](const net::ExchangeResult &Result) {
         auto Self = Weak.lock();
         if (Self && !Self->Stopped) {
-          Self->onPulled(Result, StoreStable);
+          Self->onPulled(Result, StartedAt, StoreStable);
         }
       });
   return true;
 }
 
-void FleetNode::onPulled(const net::ExchangeResult &Result, bool StoreStable) {
+void FleetNode::onPulled(const net::ExchangeResult &Result,
+                         base::TimePoint StartedAt, bool StoreStable) {
   // The pool is calling this function, so it is destroyed afterwards.
   asio::post(this->Context,
              [Ended = std::exchange(this->PullPool, nullptr)] {});
   const auto *Response = std::get_if<net::HttpResponse>(&Result);
   if (Response == nullptr || Response->Status != 200) {
     ++this->Counters.PullsFailed;
+    logEvent(LogLevel::Warning, "view.pull_failed",
+             {{"reason", failureReason(Result)},
+              {"took_ms", std::to_string(std::lround(base::toMilliseconds(
+                              Clock::now() - StartedAt)))}});
     return;
   }
   auto Decoded = net::decodeUpdate(Response->Body);
@@ -179,8 +196,12 @@
     return;
   }
   ++this->Counters.Received;
-  this->Members.onHeartbeat(Clock::now(), Decoded.value());
-  this->Callbacks.OnHeartbeat(Decoded.value());
+  this->onHeartbeat(Decoded.value());
+}
+
+void FleetNode::onHeartbeat(const fleet::Heartbeat &Received) {
+  this->Members.onHeartbeat(Clock::now(), Received);
+  this->Callbacks.OnHeartbeat(Received);
 }
 
 } // namespace hickorycrank::daemon
--- a/src/daemon/fleet_node_base.h
+++ b/src/daemon/fleet_node_base.h
@@ -74,6 +74,8 @@
   void tick(base::TimePoint Now);
   /** Sends heartbeats immediately. @param Now Current time. */
   void sendHeartbeats(base::TimePoint Now);
+  /** Records a heartbeat of another instance. @param Received The heartbeat. */
+  void onHeartbeat(const fleet::Heartbeat &Received);
   /**
    * Starts pulling the view of an instance whose view is newer, if any.
    * @param Now Current time.
@@ -111,7 +113,8 @@
 
   void receive();
   void onDatagram(size_t Count);
-  void onPulled(const net::ExchangeResult &Result, bool StoreStable);
+  void onPulled(const net::ExchangeResult &Result, base::TimePoint StartedAt,
+                bool StoreStable);
 
   boost::asio::io_context &Context;
   config::GatewaySettings Settings;
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -50,6 +50,25 @@
   Garbage, ///< The reply was not valid HTTP or too large.
 };
 
+/**
+ * Returns the name of a fault in logs.
+ * @param Fault The fault.
+ * @return Stable name in lower case.
+ */
+inline const char *toString(ExchangeFault Fault) {
+  switch (Fault) {
+  case ExchangeFault::Refused:
+    return "refused";
+  case ExchangeFault::Timeout:
+    return "timeout";
+  case ExchangeFault::Reset:
+    return "reset";
+  case ExchangeFault::Garbage:
+    return "garbage";
+  }
+  return "unknown";
+}
+
 /** A failed exchange. */
 struct ExchangeError {
   ExchangeStage Stage = ExchangeStage::Connecting;
--- a/tests/view_test.cpp
+++ b/tests/view_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace hickorycrank;
 using namespace std::chrono_literals;
@@ -171,6 +172,28 @@
   CHECK(Source.updateSince(Peer.position()).Complete);
 }
 
+// Guards against updates that grow with each change of a large item: a peer
+// that is some versions behind would download every version.
+TEST_CASE("an update holds only the last change of an item",
+          "[view][known-red]") {
+  View Source;
+  base::TimePoint Now{1h};
+  Source.apply(Now, listing(5, {written("x", 3), written("y", 4)}),
+               RemovalPolicy::Immediate);
+  Source.apply(Now,
+               changes(5, 9,
+                       {written("x", 6, "older"), written("z", 7),
+                        removed("z", 8), written("x", 9, "newest")}),
+               RemovalPolicy::Immediate);
+  Update Sent = Source.updateSince({1, 5});
+  REQUIRE_FALSE(Sent.Complete);
+  REQUIRE(Sent.Changes.size() == 2);
+  CHECK(Sent.Changes[0].ChangedItem.Name == "z");
+  CHECK(Sent.Changes[0].Deleted);
+  CHECK(Sent.Changes[1].ChangedItem.Value == "newest");
+  CHECK(Source.updateSince({1, 9}).Changes.empty());
+}
+
 // Guards against a crash on data that another program sent.
 TEST_CASE("bytes that are no message are refused", "[view]") {
   CHECK_FALSE(net::decodeUpdate("garbage"));
@@ -222,6 +245,46 @@
   CHECK_FALSE(Members.findInstanceWithNewerView(Now + 3s, {1, 5}, false));
 }
 
+// Guards against all instances of a failure domain copying a large change from
+// the same one: its network link is too slow for that.
+TEST_CASE("instances copy a view from different ones that have it",
+          "[fleet][known-red]") {
+  base::TimePoint Now{1h};
+  std::set<std::string> Sources;
+  for (uint64_t Seed = 1; Seed <= 40; ++Seed) {
+    fleet::Roster Members(Now, "10.0.0.9:7", base::FailureDomainId("a"), Seed);
+    for (const char *Holder : {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"}) {
+      Members.onHeartbeat(Now, heartbeat(Holder, "a", true, 9));
+    }
+    Members.onHeartbeat(Now, heartbeat("10.0.0.4:7", "a", true, 8));
+    Sources.insert(
+        Members.findInstanceWithNewerView(Now, {1, 5}, false)->Address);
+  }
+  CHECK(Sources ==
+        std::set<std::string>{"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"});
+}
+
+// Guards against an instance that never gets a change because copies from its
+// peers fail, although it reaches the store.
+TEST_CASE("an instance that stays behind reads the store itself",
+          "[fleet][known-red]") {
+  base::TimePoint Now{1h};
+  fleet::Roster Members = roster(Now, "10.0.0.2:7");
+  for (int Step = 0; Step <= 80; ++Step) {
+    base::TimePoint At = Now + Step * 25ms;
+    Members.onHeartbeat(At, heartbeat("10.0.0.1:7", "a", true, 9));
+    Members.findInstanceWithNewerView(At, {1, 5}, false);
+    bool Reads = Members.shouldReadStore(At, true);
+    if (Step <= 20) {
+      CHECK_FALSE(Reads);
+    } else if (Step == 80) {
+      CHECK(Reads);
+    }
+  }
+  Members.findInstanceWithNewerView(Now + 2s, {1, 9}, false);
+  CHECK_FALSE(Members.shouldReadStore(Now + 2s, true));
+}
+
 // Guards against following a peer that has not noticed a restore of the store.
 TEST_CASE("a view of a later epoch is newer at any revision", "[fleet]") {
   base::TimePoint Now{1h};
