--- a/src/daemon/fleet_node_base.h
+++ b/src/daemon/fleet_node_base.h
@@ -99,6 +99,13 @@
     return this->Members.isPartitioned(Now);
   }
 
+  /** @param Now Current time. @return The last heartbeats of the instances that
+   * forward the requests of others. */
+  std::vector<const fleet::Heartbeat *>
+  relayTargets(base::TimePoint Now) const {
+    return this->Members.relayTargets(Now);
+  }
+
   /** @param Now Current time. @return Number of live instances, including
    * this one. */
   size_t instances(base::TimePoint Now) const {
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -71,12 +71,27 @@
            [this](forward::ServerKey Server, bool Reached) {
              this->Engine.onProbeResult(suspendAwareNow(), Server, Reached);
            }}),
-      CallerServer(
-          Context, this->Settings.Callers,
-          {[this](net::ForwardToken Token, net::ForwardRequest &&Request) {
-             this->onRequest(Token, std::move(Request));
-           },
-           [this](net::ForwardToken Token) { this->onCallerGone(Token); }}),
+      PeerLinks(Context, this->Dialect.Headers,
+                {[this](const forward::AttemptRef &Ref, forward::ServerKey Peer,
+                        forward::Reply &&Received) {
+                   forward::Actions Actions;
+                   this->Engine.onRelayReply(suspendAwareNow(), Ref, Peer,
+                                             std::move(Received), Actions);
+                   this->executeActions(std::move(Actions));
+                 },
+                 [this](const forward::AttemptRef &Ref, forward::ServerKey Peer,
+                        forward::AttemptFailure Kind) {
+                   forward::Actions Actions;
+                   this->Engine.onRelayFailure(suspendAwareNow(), Ref, Peer,
+                                               Kind, Actions);
+                   this->executeActions(std::move(Actions));
+                 },
+                 [](const forward::AttemptRef &, forward::ServerKey) {},
+                 [](forward::ServerKey, bool) {}}),
+      CallerServer(Context, this->Settings.Callers,
+                   this->serverCallbacks(this->CallerServer)),
+      RelayServer(Context, this->Settings.Heartbeats,
+                  this->serverCallbacks(this->RelayServer)),
       ReadinessServer(
           Context, this->Settings.Readiness, net::HttpLimits{},
           [this](const net::HttpCall &Call) {
@@ -99,6 +114,17 @@
   }
 }
 
+net::ForwardServer::Callbacks
+Gateway::serverCallbacks(net::ForwardServer &Server) {
+  return {
+      [this, &Server](net::ForwardToken Token, net::ForwardRequest &&Request) {
+        this->onRequest({&Server, Token}, std::move(Request));
+      },
+      [this, &Server](net::ForwardToken Token) {
+        this->onCallerGone({&Server, Token});
+      }};
+}
+
 void Gateway::start() {
   uint64_t Seed = base::randomAttemptId().High;
   this->Fleet = std::make_shared<FleetNode>(
@@ -117,6 +143,7 @@
         this->onUpdate(Update, this->Reader->isStable(Clock::now()));
       }});
   this->CallerServer.start();
+  this->RelayServer.start();
   this->ReadinessServer.start();
   this->ControlServer.start();
   this->Fleet->start();
@@ -128,17 +155,21 @@
 }
 
 void Gateway::startTimers() {
-  this->Timers.subscribe(
-      net::UpstreamPool::SweepPeriod,
-      [this](const base::Tick &Event) { this->Upstream.sweep(Event.Now); });
+  this->Timers.subscribe(net::UpstreamPool::SweepPeriod,
+                         [this](const base::Tick &Event) {
+                           this->Upstream.sweep(Event.Now);
+                           this->PeerLinks.sweep(Event.Now);
+                         });
   this->Timers.subscribe(SessionSweepPeriod, [this](const base::Tick &Event) {
     this->CallerServer.sweep(Event.Now);
+    this->RelayServer.sweep(Event.Now);
   });
   this->Timers.subscribe(
       FleetNode::TickPeriod, [this](const base::Tick &Event) {
         this->Fleet->tick(Event.Now);
         this->updateReaderRole(Event.Now);
         this->updateIsolation(Event.Now);
+        this->updatePeers(Event.Now);
         forward::Actions Actions;
         this->Engine.probeServers(suspendAwareNow(), Actions);
         this->executeActions(std::move(Actions));
@@ -194,15 +225,24 @@
            this->Isolated ? "gateway.isolated" : "gateway.reconnected", {});
 }
 
-void Gateway::onRequest(net::ForwardToken Token,
+void Gateway::updatePeers(TimePoint Now) {
+  std::vector<forward::PeerEntry> Entries;
+  for (const fleet::Heartbeat *Peer : this->Fleet->relayTargets(Now)) {
+    Entries.push_back({Peer->Address, Peer->Domain});
+  }
+  this->Engine.onPeers(Entries);
+}
+
+void Gateway::onRequest(const RequestSource &Origin,
                         net::ForwardRequest &&Request) {
   Pending NewCall;
-  NewCall.Token = Token;
+  NewCall.Origin = Origin;
   NewCall.ArrivedAt = suspendAwareNow();
   forward::CallRequest CallDetails;
   CallDetails.Remaining =
       remainingTime(Request, this->Dialect.Headers).value_or(DefaultRemaining);
   CallDetails.Content = requestFingerprint(Request);
+  CallDetails.Relayed = Origin.Server == &this->RelayServer;
   auto Source = std::make_shared<const net::UpstreamRequest>(
       toUpstream(std::move(Request), this->Dialect.Headers));
   NewCall.Source = Source;
@@ -213,20 +253,20 @@
   forward::Actions Actions;
   forward::CallId Id =
       this->Engine.onRequest(NewCall.ArrivedAt, CallDetails, Actions);
-  this->CallByToken[Token] = Id.Value;
+  this->CallBySource[Origin] = Id.Value;
   this->Calls[Id.Value] = std::move(NewCall);
   this->executeActions(std::move(Actions));
 }
 
-void Gateway::onCallerGone(net::ForwardToken Token) {
-  auto Found = this->CallByToken.find(Token);
-  if (Found == this->CallByToken.end()) {
+void Gateway::onCallerGone(const RequestSource &Origin) {
+  auto Found = this->CallBySource.find(Origin);
+  if (Found == this->CallBySource.end()) {
     return;
   }
   forward::CallId Id(Found->second);
-  this->CallByToken.erase(Found);
+  this->CallBySource.erase(Found);
   forward::Actions Actions;
-  this->Engine.onCallerGone(Id, Actions);
+  this->Engine.onCallerGone(suspendAwareNow(), Id, Actions);
   this->Calls.erase(Id.Value);
   this->executeActions(std::move(Actions));
 }
@@ -234,12 +274,7 @@
 void Gateway::executeActions(forward::Actions &&Actions) {
   for (forward::Action &Action : Actions) {
     if (auto *Send = std::get_if<forward::SendAttempt>(&Action)) {
-      auto Owner = this->Calls.find(Send->Ref.Call);
-      if (Owner == this->Calls.end()) {
-        continue; // An earlier action in this list ended the call.
-      }
-      uint32_t Share = this->Engine.connectionShare(Send->Server);
-      this->Upstream.send({*Send, Owner->second.Source, Share});
+      this->execute(*Send);
     } else if (auto *Drop = std::get_if<forward::AbandonAttempt>(&Action)) {
       this->Upstream.abandon(Drop->Ref, Drop->Server);
     } else if (auto *Answer = std::get_if<forward::RespondCall>(&Action)) {
@@ -250,16 +285,58 @@
                    std::get_if<forward::CloseServerConnections>(&Action)) {
       this->Upstream.retire(Gone->Server);
     } else if (auto *Limit = std::get_if<forward::LogRateLimit>(&Action)) {
-      this->EventLog.log(
-          Clock::now(), LogLevel::Info, "server.rate_limit",
-          {{"server", Limit->ServerId.Value},
-           {"per_second",
-            Limit->PerSecond ? std::to_string(*Limit->PerSecond) : "none"}});
+      this->execute(*Limit);
+    } else if (auto *Relayed = std::get_if<forward::RelayRequest>(&Action)) {
+      this->execute(*Relayed);
+    } else if (auto *Ended = std::get_if<forward::CancelRelay>(&Action)) {
+      this->PeerLinks.cancel(Ended->Ref, Ended->Peer);
+    } else if (auto *Links = std::get_if<forward::LogReachability>(&Action)) {
+      this->execute(*Links);
     }
   }
   this->scheduleWake();
 }
 
+void Gateway::execute(const forward::SendAttempt &Send) {
+  auto Owner = this->Calls.find(Send.Ref.Call);
+  if (Owner == this->Calls.end()) {
+    return; // An earlier action in this list ended the call.
+  }
+  uint32_t Share = this->Engine.connectionShare(Send.Server);
+  this->Upstream.send({Send, Owner->second.Source, Share});
+}
+
+void Gateway::execute(const forward::RelayRequest &Request) {
+  auto Owner = this->Calls.find(Request.Ref.Call);
+  if (Owner == this->Calls.end()) {
+    return; // An earlier action in this list ended the call.
+  }
+  forward::SendAttempt Order;
+  Order.Ref = Request.Ref;
+  Order.Server = Request.Peer;
+  Order.ServerId = base::ServerId(Request.Address);
+  Order.Address = Request.Address;
+  Order.Remaining = Request.Remaining;
+  Order.Idempotent = Request.Idempotent;
+  this->PeerLinks.send(
+      {Order, Owner->second.Source, forward::PeerSet::MaxOutstanding});
+}
+
+void Gateway::execute(const forward::LogRateLimit &Limit) {
+  this->EventLog.log(
+      Clock::now(), LogLevel::Info, "server.rate_limit",
+      {{"server", Limit.ServerId.Value},
+       {"per_second",
+        Limit.PerSecond ? std::to_string(*Limit.PerSecond) : "none"}});
+}
+
+void Gateway::execute(const forward::LogReachability &Links) {
+  logEvent(Links.Reaches ? LogLevel::Info : LogLevel::Warning,
+           Links.Reaches ? "gateway.links_regained" : "gateway.links_lost",
+           {{"silent", std::to_string(Links.Silent)},
+            {"servers", std::to_string(Links.Servers)}});
+}
+
 void Gateway::respond(const forward::RespondCall &Outcome) {
   auto Found = this->Calls.find(Outcome.Id.Value);
   if (Found == this->Calls.end()) {
@@ -267,10 +344,10 @@
   }
   Pending Ended = std::move(Found->second);
   this->Calls.erase(Found);
-  this->CallByToken.erase(Ended.Token);
+  this->CallBySource.erase(Ended.Origin);
   this->logResult(Ended, Outcome, suspendAwareNow() - Ended.ArrivedAt);
-  this->CallerServer.respond(Ended.Token,
-                             toResponse(Outcome.Result, this->Dialect.Headers));
+  Ended.Origin.Server->respond(
+      Ended.Origin.Token, toResponse(Outcome.Result, this->Dialect.Headers));
 }
 
 void Gateway::logResult(const Pending &Ended,
@@ -348,6 +425,7 @@
   this->CloseAt = Clock::now() + BalancerRemovalTime;
   this->StopAt = Clock::now() + this->Settings.Grace - ExitMargin;
   this->CallerServer.setClosing(true);
+  this->RelayServer.setClosing(true);
 }
 
 void Gateway::finishStop() {
@@ -359,8 +437,10 @@
     return;
   }
   this->CallerServer.stopAccepting();
+  this->RelayServer.stopAccepting();
   bool Idle = this->CallerServer.requestsInProgress() == 0 &&
-              this->CallerServer.connections() == 0;
+              this->CallerServer.connections() == 0 &&
+              this->RelayServer.requestsInProgress() == 0;
   if (!Idle && Now < this->StopAt) {
     return;
   }
--- a/src/daemon/gateway_base.h
+++ b/src/daemon/gateway_base.h
@@ -76,9 +76,15 @@
   }
 
 private:
-  /** A caller's request in progress. */
-  struct Pending {
+  /** Where a request came from. */
+  struct RequestSource {
+    net::ForwardServer *Server = nullptr;
     net::ForwardToken Token = 0;
+    auto operator<=>(const RequestSource &) const = default;
+  };
+  /** A request in progress, of a caller or relayed by another instance. */
+  struct Pending {
+    RequestSource Origin;
     std::shared_ptr<const net::UpstreamRequest> Source;
     base::TimePoint ArrivedAt;
   };
@@ -89,9 +95,14 @@
   };
 
   // Request forwarding (gateway.cpp).
-  void onRequest(net::ForwardToken Token, net::ForwardRequest &&Request);
-  void onCallerGone(net::ForwardToken Token);
+  net::ForwardServer::Callbacks serverCallbacks(net::ForwardServer &Server);
+  void onRequest(const RequestSource &Origin, net::ForwardRequest &&Request);
+  void onCallerGone(const RequestSource &Origin);
   void executeActions(forward::Actions &&Actions);
+  void execute(const forward::SendAttempt &Send);
+  void execute(const forward::RelayRequest &Request);
+  void execute(const forward::LogRateLimit &Limit);
+  void execute(const forward::LogReachability &Links);
   void respond(const forward::RespondCall &Outcome);
   void logResult(const Pending &Ended, const forward::RespondCall &Outcome,
                  base::Duration Took);
@@ -101,6 +112,7 @@
   void scheduleTick();
   void finishStop();
   void updateIsolation(base::TimePoint Now);
+  void updatePeers(base::TimePoint Now);
 
   // Configuration and server discovery (gateway_view.cpp).
   void onUpdate(const discovery::Update &Update, bool StoreStable);
@@ -118,7 +130,9 @@
   forward::Engine Engine;
   discovery::View View;
   net::UpstreamPool Upstream;
+  net::UpstreamPool PeerLinks; ///< To the instances that forward for this one.
   net::ForwardServer CallerServer;
+  net::ForwardServer RelayServer; ///< Takes the requests of other instances.
   net::HttpServer ReadinessServer;
   net::HttpServer ControlServer;
   fleet::TransferLimit Transfers; ///< Of view updates to other instances.
@@ -130,7 +144,7 @@
   boost::asio::steady_timer WakeTimer;
   base::TimePoint WakeAt = base::TimePoint::max();
   std::unordered_map<uint64_t, Pending> Calls; ///< By call id.
-  std::unordered_map<net::ForwardToken, uint64_t> CallByToken;
+  std::map<RequestSource, uint64_t> CallBySource;
   std::map<std::string, DecodedServer> DecodedServers;
   discovery::StorePosition ConfigurationPosition; ///< Last one decoded.
   bool ServersKnown = false;
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/** Header bytes that an instance may add to a request that it relays. */
+constexpr uint32_t AddedHeaderBytes = 1'024;
+
 /** @return Value of a query parameter; 0 if it is missing or no number. */
 uint64_t numberParameter(const net::HttpRequest &Request,
                          const std::string &Name) {
@@ -77,6 +80,9 @@
       continue;
     }
     this->CallerServer.setLimits(Table->Limits);
+    forward::CallerLimits RelayLimits = Table->Limits;
+    RelayLimits.MaxHeaderBytes += AddedHeaderBytes;
+    this->RelayServer.setLimits(RelayLimits);
     logEvent(LogLevel::Info, "configuration.in_force",
              {{"version", std::to_string(Table->Version)},
               {"epoch", std::to_string(Entry.Position.Epoch)},
@@ -132,6 +138,8 @@
   fleet::Heartbeat Message;
   Message.Leaving = this->Stopping && !this->OnStopped;
   Message.LastChange = this->View.lastChange();
+  Message.AcceptsRelays = !this->Stopping && this->Engine.routes() &&
+                          this->ServersKnown && this->Engine.reachesServers();
   Message.StoreHealthy = this->Reader->isHealthy();
   Message.StoreStable = this->Reader->isStable(Clock::now());
   Message.QuarantinedFingerprints =
@@ -192,6 +200,9 @@
   Count("connection_probes", EngineCounters.Probes);
   Count("late_replies", EngineCounters.LateReplies);
   Count("rate_limit_replies", EngineCounters.RateLimitReplies);
+  Count("relays", EngineCounters.Relays);
+  Count("relays_failed", EngineCounters.RelaysFailed);
+  Count("relays_received", EngineCounters.RelaysReceived);
   for (size_t I = 0; I < forward::RefusalReasonCount; ++I) {
     Count("refusals", EngineCounters.Refusals[I],
           {{"reason",
@@ -226,6 +237,8 @@
   Add("instances", static_cast<double>(this->Fleet->instances(Clock::now())));
   Add("routes_observed", static_cast<double>(this->Engine.observedRoutes()));
   Add("backend_servers", static_cast<double>(this->Engine.servers()));
+  Add("reaches_servers", this->Engine.reachesServers() ? 1 : 0);
+  Add("peer_connections", static_cast<double>(this->PeerLinks.connections()));
   Add("connections", static_cast<double>(this->Upstream.connections()));
   Add("calls_in_progress", static_cast<double>(this->Engine.callsInProgress()));
   Add("view_revision", static_cast<double>(this->View.position().Revision));
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -20,6 +20,9 @@
   bool StoreHealthy = false; ///< The sender's last call to the store succeeded.
   bool StoreStable = false;  ///< No call of the sender to the store has failed
                              ///< for some seconds.
+  /** The sender reaches backend servers and forwards the requests of instances
+   * that do not, at the TCP port with the number of Address. */
+  bool AcceptsRelays = false;
   std::vector<std::string> Peers; ///< Sample of known addresses.
   std::vector<base::Fingerprint>
       QuarantinedFingerprints; ///< Fingerprints of requests that crash backend
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -246,6 +246,17 @@
   return KnowsOtherDomain;
 }
 
+std::vector<const Heartbeat *> Roster::relayTargets(base::TimePoint Now) const {
+  std::vector<const Heartbeat *> Targets;
+  for (const auto &[Address, KnownPeer] : this->Peers) {
+    if (KnownPeer.LastHeartbeat.AcceptsRelays &&
+        Now - KnownPeer.LastHeardAt <= HeartbeatTimeout) {
+      Targets.push_back(&KnownPeer.LastHeartbeat);
+    }
+  }
+  return Targets;
+}
+
 std::vector<std::string> Roster::sampleAddresses() {
   std::vector<std::string> Addresses;
   for (const auto &[Address, Entry] : this->Peers) {
--- a/src/fleet/roster_base.h
+++ b/src/fleet/roster_base.h
@@ -112,6 +112,13 @@
    */
   bool isPartitioned(base::TimePoint Now) const;
 
+  /**
+   * Lists the live instances that forward the requests of others.
+   * @param Now Current time.
+   * @return Their last heartbeats.
+   */
+  std::vector<const Heartbeat *> relayTargets(base::TimePoint Now) const;
+
   /** @return Random sample of the known addresses, for a heartbeat. */
   std::vector<std::string> sampleAddresses();
 
--- a/src/forward/action_type.h
+++ b/src/forward/action_type.h
@@ -25,6 +25,28 @@
   ServerKey Server;
 };
 
+/** Pass a caller's request on to another instance, which forwards it. */
+struct RelayRequest {
+  AttemptRef Ref; ///< Its part is RelayPart.
+  ServerKey Peer;
+  std::string Address;        ///< "IP:port".
+  base::Duration Remaining{}; ///< Time remaining for an answer.
+  bool Idempotent = false;
+};
+
+/** End a relay at once, so that the other instance notices it. */
+struct CancelRelay {
+  AttemptRef Ref;
+  ServerKey Peer;
+};
+
+/** Log that this instance has lost or regained its links to all servers. */
+struct LogReachability {
+  bool Reaches = false;
+  size_t Silent = 0;  ///< Servers that do not answer.
+  size_t Servers = 0; ///< All that may be used.
+};
+
 /** Send a caller the final answer. */
 struct RespondCall {
   CallId Id;
@@ -52,7 +74,8 @@
 
 using Action =
     std::variant<SendAttempt, AbandonAttempt, RespondCall,
-                 CloseServerConnections, ProbeConnection, LogRateLimit>;
+                 CloseServerConnections, ProbeConnection, LogRateLimit,
+                 RelayRequest, CancelRelay, LogReachability>;
 using Actions = std::vector<Action>;
 
 } // namespace hickorycrank::forward
--- a/src/forward/call_type.h
+++ b/src/forward/call_type.h
@@ -27,6 +27,8 @@
   std::string_view Target; ///< Request target; valid only during onRequest().
   base::Duration Remaining{}; ///< Time until the caller's deadline.
   base::Fingerprint Content;  ///< Hash that is equal for identical requests.
+  /** Another instance has relayed it; it is not relayed again. */
+  bool Relayed = false;
 };
 
 /** Header fields in the order of the message. */
@@ -41,6 +43,7 @@
   std::string Signature;    ///< Proof of execution; empty if absent.
   bool NotExecuted = false; ///< Rejected without being executed.
   bool Misdirected = false; ///< A different server is using the address.
+  bool Merged = false;      ///< Another instance has merged it from replies.
   std::optional<LoadReport> Load;
   /** Requests per second that the server accepts from all instances together;
    * nothing if it states no limit. */
@@ -133,6 +136,12 @@
   boost::container::small_vector<Attempt, 2> Attempts;
 };
 
+/** A call that another instance forwards. */
+struct Relay {
+  ServerKey Peer;
+  AttemptRef Ref;
+};
+
 /** A caller's request from arrival to its final answer. */
 struct Call {
   CallId Id;
@@ -148,6 +157,14 @@
   uint32_t Answered = 0;
   uint32_t Failed = 0;
   std::vector<Part> Parts;
+  bool Relayed = false;    ///< It came from another instance.
+  bool CountedHere = true; ///< In the budgets of this instance.
+  /** Set while another instance forwards the call; its parts are idle then. */
+  std::optional<Relay> CurrentRelay;
+  /** Peers to which the call was relayed. */
+  boost::container::small_vector<ServerKey, 2> RelayedTo;
+  /** A relay has ended and the peer may have sent the request to servers. */
+  bool PeerMayHaveSent = false;
 };
 
 /**
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -103,6 +103,8 @@
   CurrentCall.MatchedRoute = MatchedRoute;
   CurrentCall.ArrivedAt = Now;
   CurrentCall.Content = Request.Content;
+  CurrentCall.Relayed = Request.Relayed;
+  this->Counters.RelaysReceived += Request.Relayed ? 1 : 0;
   CurrentCall.Deferrable =
       this->DeferrableRoutes.count(MatchedRoute->Name) != 0;
   Duration Allowed =
@@ -133,12 +135,13 @@
   this->Crashes.quarantine(Now, Content);
 }
 
-void Engine::onCallerGone(CallId Id, Actions &Out) {
+void Engine::onCallerGone(TimePoint Now, CallId Id, Actions &Out) {
   Call *CurrentCall = this->find(Id.Value);
   if (CurrentCall == nullptr) {
     return;
   }
   ++this->Counters.CallersGone;
+  this->cancelRelay(Now, *CurrentCall, Out);
   for (uint32_t I = 0; I < CurrentCall->Parts.size(); ++I) {
     this->abandonLiveAttempts(*CurrentCall, I, Out);
   }
@@ -170,10 +173,13 @@
     ++this->Counters.Probes;
     Out.push_back(ProbeConnection{Backend->Key, Backend->Entry.Address});
   }
+  this->updateReachability(Now, Out);
 }
 
 void Engine::onProbeResult(TimePoint Now, ServerKey Probed, bool Reached) {
-  if (!Reached) {
+  if (Reached) {
+    this->Links.recordContact(Now);
+  } else {
     this->Crashes.recordUnreachable(Now, Probed);
   }
   if (Server *Backend = this->Servers.find(Probed)) {
--- a/src/forward/engine_admission.cpp
+++ b/src/forward/engine_admission.cpp
@@ -57,12 +57,17 @@
 }
 
 bool Engine::admit(TimePoint Now, Call &CurrentCall, Actions &Out) {
+  if (this->Links.isLost() && this->tryRelay(Now, CurrentCall, Out)) {
+    return true;
+  }
   std::vector<Part *> UnavailableParts; // No server accepts an attempt in time.
+  size_t Unreachables = 0;
   TimePoint RetryAt = Now + NoServerRetryAfter;
   for (Part &Entry : CurrentCall.Parts) {
     auto Unreachable = unreachableUntil(Now, *Entry.Pool);
     auto Limited = rateLimitedUntil(Now, *Entry.Pool, this->Instances);
     Entry.RateLimited = Limited && isWaitTooLong(*Limited, CurrentCall);
+    Unreachables += Unreachable ? 1 : 0;
     if (!hasUsableReplica(*Entry.Pool) || Entry.RateLimited ||
         (Unreachable && CurrentCall.MatchedRoute->fansOut())) {
       auto Until = Limited ? Limited : Unreachable;
@@ -72,6 +77,9 @@
   }
   size_t MaxOmitted =
       CurrentCall.Parts.size() - requiredParts(*CurrentCall.MatchedRoute);
+  if (Unreachables > MaxOmitted && this->tryRelay(Now, CurrentCall, Out)) {
+    return true;
+  }
   if (UnavailableParts.size() > MaxOmitted) {
     auto Wait = std::chrono::ceil<std::chrono::milliseconds>(RetryAt - Now);
     this->refuse(CurrentCall.Id, {unsentReason(CurrentCall), false, Wait}, Out,
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -280,6 +280,9 @@
   if (Live) {
     return;
   }
+  if (this->Links.isLost() && this->tryRelay(Now, CurrentCall, Out)) {
+    return;
+  }
   bool MayRepeat =
       CurrentCall.MatchedRoute->Idempotent || CurrentPart.PossiblyRun == 0;
   if (!MayRepeat || CurrentPart.Retries >= MaxRetries ||
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -4,6 +4,8 @@
 #include "base/random_base.h"
 #include "forward/action_type.h"
 #include "forward/crash_record_base.h"
+#include "forward/peer_set_base.h"
+#include "forward/reachability_base.h"
 #include "limits/latency_model_base.h"
 
 #include <array>
@@ -43,6 +45,9 @@
   uint64_t Probes = 0;
   uint64_t LateReplies = 0;      ///< Of abandoned attempts.
   uint64_t RateLimitReplies = 0; ///< Replies that state a rate limit.
+  uint64_t Relays = 0;           ///< Calls passed on to other instances.
+  uint64_t RelaysFailed = 0;     ///< Without an answer of backend servers.
+  uint64_t RelaysReceived = 0;   ///< Calls passed on by other instances.
   std::array<uint64_t, RefusalReasonCount> Refusals{};
 };
 
@@ -84,6 +89,37 @@
    */
   void onInstances(size_t Instances);
 
+  /**
+   * Replaces the list of instances that accept relays.
+   * @param Entries The other instances.
+   */
+  void onPeers(const std::vector<PeerEntry> &Entries);
+
+  /**
+   * Handles a peer's answer to a relayed call.
+   * @param Now Current time.
+   * @param Ref The relay.
+   * @param Peer The peer.
+   * @param Received The answer.
+   * @param Out Receives actions.
+   */
+  void onRelayReply(base::TimePoint Now, const AttemptRef &Ref, ServerKey Peer,
+                    Reply &&Received, Actions &Out);
+
+  /**
+   * Handles a relay that ended without an answer.
+   * @param Now Current time.
+   * @param Ref The relay.
+   * @param Peer The peer.
+   * @param Kind How it ended.
+   * @param Out Receives actions.
+   */
+  void onRelayFailure(base::TimePoint Now, const AttemptRef &Ref,
+                      ServerKey Peer, AttemptFailure Kind, Actions &Out);
+
+  /** @return Whether this instance appears to reach backend servers. */
+  bool reachesServers() const { return !this->Links.isLost(); }
+
   /** Changes the limits on extra attempts. @param Extra Limits for all
    * instances together. */
   void setExtraLimits(const limits::ExtraAttemptLimits &Extra) {
@@ -133,10 +169,11 @@
 
   /**
    * Cancels a call whose caller has disconnected.
+   * @param Now Current time.
    * @param Id The call.
    * @param Out Receives actions.
    */
-  void onCallerGone(CallId Id, Actions &Out);
+  void onCallerGone(base::TimePoint Now, CallId Id, Actions &Out);
 
   /**
    * Quarantines request content that other instances found to crash servers.
@@ -153,7 +190,8 @@
   void onTick(base::TimePoint Now, Actions &Out);
 
   /**
-   * Probes unreachable servers whose next probe is due.
+   * Probes unreachable servers whose next probe is due, and relays the calls in
+   * progress if the links to all servers have been lost.
    * @param Now Current time.
    * @param Out Receives actions.
    */
@@ -249,6 +287,22 @@
   void handleErrorReply(base::TimePoint Now, Call &CurrentCall,
                         const AttemptRef &Ref, Reply &&Received, Actions &Out);
 
+  // Relays through other instances (engine_relay.cpp).
+  void updateReachability(base::TimePoint Now, Actions &Out);
+  /** @return Whether the call lacks servers that a peer may reach. */
+  bool isOutOfReach(base::TimePoint Now, const Call &CurrentCall) const;
+  /** Takes the repetitions that a relay causes from the budgets.
+   * @return Whether the budgets allow them. */
+  bool payForRelay(base::TimePoint Now, Call &CurrentCall);
+  bool tryRelay(base::TimePoint Now, Call &CurrentCall, Actions &Out);
+  Call *endRelay(base::TimePoint Now, const AttemptRef &Ref, ServerKey Peer,
+                 bool Failed);
+  void cancelRelay(base::TimePoint Now, Call &CurrentCall, Actions &Out);
+  void relayAgainOrFail(base::TimePoint Now, Call &CurrentCall,
+                        RefusalReason Reason, Actions &Out);
+  void failRelayed(Call &CurrentCall, RefusalReason Reason, Actions &Out);
+  void advanceRelay(base::TimePoint Now, Call &CurrentCall, Actions &Out);
+
   // Progress (engine_progress.cpp).
   void advance(base::TimePoint Now, Call &CurrentCall, Actions &Out);
   bool finishIfDone(base::TimePoint Now, Call &CurrentCall, Actions &Out);
@@ -264,6 +318,8 @@
   base::Random Generator;
   std::shared_ptr<const RouteTable> Table;
   ServerSet Servers;
+  PeerSet Peers;
+  Reachability Links;
   size_t Instances = 1;
   CrashRecord Crashes;
   EngineCounters Counters;
--- a/src/forward/engine_progress.cpp
+++ b/src/forward/engine_progress.cpp
@@ -34,7 +34,8 @@
 } // namespace
 
 void Engine::advance(TimePoint Now, Call &CurrentCall, Actions &Out) {
-  for (uint32_t I = 0; I < CurrentCall.Parts.size(); ++I) {
+  for (uint32_t I = 0;
+       I < CurrentCall.Parts.size() && !CurrentCall.CurrentRelay; ++I) {
     Part &Entry = CurrentCall.Parts[I];
     if (Entry.WakeAt > Now) {
       continue;
@@ -45,6 +46,10 @@
       this->hedge(Now, CurrentCall, I, Out);
     }
   }
+  if (CurrentCall.CurrentRelay) {
+    this->advanceRelay(Now, CurrentCall, Out);
+    return;
+  }
   if (!this->finishIfDone(Now, CurrentCall, Out)) {
     this->scheduleWake(Now, CurrentCall);
   }
@@ -61,6 +66,12 @@
   if (!AllFinished && !Unattainable && !PartialDue && !TimedOut) {
     return false;
   }
+  bool Fails = Total - CurrentCall.Failed < Required;
+  if (Fails && this->isOutOfReach(Now, CurrentCall) &&
+      this->tryRelay(Now, CurrentCall, Out)) {
+    this->scheduleWake(Now, CurrentCall);
+    return true;
+  }
   this->finishCall(CurrentCall, TimedOut, Out);
   return true;
 }
@@ -155,12 +166,13 @@
 void Engine::scheduleWake(TimePoint Now, Call &CurrentCall) {
   TimePoint Next = CurrentCall.Deadline;
   for (const Part &Entry : CurrentCall.Parts) {
-    if (Entry.Phase == PartPhase::Waiting ||
-        Entry.Phase == PartPhase::InFlight) {
+    bool Active =
+        Entry.Phase == PartPhase::Waiting || Entry.Phase == PartPhase::InFlight;
+    if (Active && !CurrentCall.CurrentRelay) {
       Next = std::min(Next, Entry.WakeAt);
     }
   }
-  if (CurrentCall.MatchedRoute->fansOut()) {
+  if (CurrentCall.MatchedRoute->fansOut() && !CurrentCall.CurrentRelay) {
     TimePoint BeforeTarget = CurrentCall.ArrivedAt +
                              CurrentCall.MatchedRoute->TargetLatency -
                              PartialAnswerMargin;
--- /dev/null
+++ b/src/forward/engine_relay.cpp
@@ -0,0 +1,212 @@
+#include "forward/engine_base.h"
+#include "forward/replica_func.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorycrank::forward {
+
+using base::Duration;
+using base::TimePoint;
+
+namespace {
+
+/** Maximum number of peers to which a call is relayed. */
+constexpr size_t MaxRelays = 2;
+/** Minimum time that must be left for a relay to be useful: two round trips
+ * between failure domains and one to a server. */
+constexpr Duration MinRelayTime = std::chrono::milliseconds(20);
+/** Retry-after time of a call that neither this instance nor a peer could
+ * forward. */
+constexpr std::chrono::milliseconds RelayRetryAfter(500);
+
+/** @return Whether a peer has forwarded the request and this is its answer. */
+bool isAnswer(const Reply &Received) {
+  return !Received.Signature.empty() || Received.Merged;
+}
+
+/** @return Whether a peer's own answer states that no server has run it. */
+bool isNotRun(const Reply &Received) {
+  return Received.Status == 503 ||
+         (Received.Status >= 400 && Received.Status < 500);
+}
+
+bool mayHaveRun(const Call &CurrentCall) {
+  return CurrentCall.PeerMayHaveSent ||
+         std::any_of(CurrentCall.Parts.begin(), CurrentCall.Parts.end(),
+                     [](const Part &Entry) { return Entry.PossiblyRun > 0; });
+}
+
+} // namespace
+
+void Engine::onPeers(const std::vector<PeerEntry> &Entries) {
+  this->Peers.apply(Entries);
+}
+
+void Engine::updateReachability(TimePoint Now, Actions &Out) {
+  if (!this->Links.update(Now, this->Servers)) {
+    return;
+  }
+  Out.push_back(LogReachability{!this->Links.isLost(),
+                                this->Links.silentServers(),
+                                this->Links.usableServers()});
+  if (!this->Links.isLost()) {
+    return;
+  }
+  for (auto &[Id, CurrentCall] : this->Calls) {
+    if (!CurrentCall->CurrentRelay && this->tryRelay(Now, *CurrentCall, Out)) {
+      this->scheduleWake(Now, *CurrentCall);
+    }
+  }
+}
+
+bool Engine::isOutOfReach(TimePoint Now, const Call &CurrentCall) const {
+  if (this->Links.isLost()) {
+    return true;
+  }
+  return std::any_of(CurrentCall.Parts.begin(), CurrentCall.Parts.end(),
+                     [&](const Part &Entry) {
+                       return Entry.Phase != PartPhase::Answered &&
+                              unreachableUntil(Now, *Entry.Pool);
+                     });
+}
+
+bool Engine::payForRelay(TimePoint Now, Call &CurrentCall) {
+  for (Part &Entry : CurrentCall.Parts) {
+    bool Repeats = Entry.PossiblyDelivered > 0 || CurrentCall.PeerMayHaveSent;
+    if (Repeats && !Entry.Pool->Budget.tryTake(limits::ExtraAttemptKind::Retry,
+                                               this->Options.Extra,
+                                               this->Instances, Now)) {
+      ++this->Counters.RetriesDenied;
+      return false;
+    }
+  }
+  return true;
+}
+
+bool Engine::tryRelay(TimePoint Now, Call &CurrentCall, Actions &Out) {
+  bool MayRepeat =
+      CurrentCall.MatchedRoute->Idempotent || !mayHaveRun(CurrentCall);
+  if (CurrentCall.Relayed || !MayRepeat ||
+      CurrentCall.RelayedTo.size() >= MaxRelays ||
+      CurrentCall.Deadline - Now < MinRelayTime ||
+      this->Crashes.isQuarantined(Now, CurrentCall.Content)) {
+    return false;
+  }
+  Peer *Chosen = this->Peers.choose(
+      Now, this->Options.Domain,
+      {CurrentCall.RelayedTo.data(), CurrentCall.RelayedTo.size()},
+      this->Generator);
+  if (Chosen == nullptr || !this->payForRelay(Now, CurrentCall)) {
+    return false;
+  }
+  for (uint32_t I = 0; I < CurrentCall.Parts.size(); ++I) {
+    this->abandonLiveAttempts(CurrentCall, I, Out);
+    if (CurrentCall.CountedHere) {
+      CurrentCall.Parts[I].Pool->Budget.cancelRequest(Now);
+    }
+  }
+  CurrentCall.CountedHere = false; // The peer counts it.
+  AttemptRef Ref{CurrentCall.Id.Value, RelayPart,
+                 static_cast<uint32_t>(CurrentCall.RelayedTo.size())};
+  CurrentCall.RelayedTo.push_back(Chosen->Key);
+  CurrentCall.CurrentRelay = Relay{Chosen->Key, Ref};
+  ++Chosen->Outstanding;
+  ++this->Counters.Relays;
+  Out.push_back(RelayRequest{Ref, Chosen->Key, Chosen->Entry.Address,
+                             CurrentCall.Deadline - Now,
+                             CurrentCall.MatchedRoute->Idempotent});
+  return true;
+}
+
+Call *Engine::endRelay(TimePoint Now, const AttemptRef &Ref, ServerKey Peer,
+                       bool Failed) {
+  Call *CurrentCall = this->find(Ref.Call);
+  if (CurrentCall == nullptr || !CurrentCall->CurrentRelay ||
+      CurrentCall->CurrentRelay->Ref != Ref) {
+    return nullptr; // It was cancelled.
+  }
+  this->Peers.recordEnd(Now, Peer, Failed);
+  CurrentCall->CurrentRelay.reset();
+  return CurrentCall;
+}
+
+void Engine::cancelRelay(TimePoint Now, Call &CurrentCall, Actions &Out) {
+  if (!CurrentCall.CurrentRelay) {
+    return;
+  }
+  Relay Ended = *CurrentCall.CurrentRelay;
+  CurrentCall.CurrentRelay.reset();
+  this->Peers.recordEnd(Now, Ended.Peer, /*Failed=*/false);
+  Out.push_back(CancelRelay{Ended.Ref, Ended.Peer});
+}
+
+void Engine::onRelayReply(TimePoint Now, const AttemptRef &Ref, ServerKey Peer,
+                          Reply &&Received, Actions &Out) {
+  Call *CurrentCall = this->endRelay(Now, Ref, Peer, /*Failed=*/false);
+  if (CurrentCall == nullptr) {
+    return;
+  }
+  if (isAnswer(Received)) {
+    ++this->Counters.Answers;
+    Out.push_back(RespondCall{CurrentCall->Id, std::move(Received),
+                              summarise(*CurrentCall)});
+    this->Calls.erase(CurrentCall->Id.Value);
+    return;
+  }
+  ++this->Counters.RelaysFailed;
+  if (!isNotRun(Received)) {
+    CurrentCall->PeerMayHaveSent = true;
+    RefusalReason Reason = Received.Status == 504
+                               ? RefusalReason::Timeout
+                               : RefusalReason::BackendFailed;
+    this->failRelayed(*CurrentCall, Reason, Out);
+    return;
+  }
+  this->relayAgainOrFail(Now, *CurrentCall, RefusalReason::Overloaded, Out);
+}
+
+void Engine::onRelayFailure(TimePoint Now, const AttemptRef &Ref,
+                            ServerKey Peer, AttemptFailure Kind, Actions &Out) {
+  Call *CurrentCall = this->endRelay(Now, Ref, Peer, /*Failed=*/true);
+  if (CurrentCall == nullptr) {
+    return;
+  }
+  ++this->Counters.RelaysFailed;
+  CurrentCall->PeerMayHaveSent =
+      CurrentCall->PeerMayHaveSent || Kind == AttemptFailure::Broken;
+  this->relayAgainOrFail(Now, *CurrentCall, RefusalReason::NoServer, Out);
+}
+
+void Engine::relayAgainOrFail(TimePoint Now, Call &CurrentCall,
+                              RefusalReason Reason, Actions &Out) {
+  if (this->tryRelay(Now, CurrentCall, Out)) {
+    this->scheduleWake(Now, CurrentCall);
+    return;
+  }
+  this->failRelayed(
+      CurrentCall,
+      mayHaveRun(CurrentCall) ? RefusalReason::BackendFailed : Reason, Out);
+}
+
+void Engine::failRelayed(Call &CurrentCall, RefusalReason Reason,
+                         Actions &Out) {
+  Refusal Result{Reason, mayHaveRun(CurrentCall), std::nullopt};
+  if (!Result.MayHaveRun) {
+    Result.RetryAfter = RelayRetryAfter;
+  }
+  this->refuse(CurrentCall.Id, Result, Out, summarise(CurrentCall));
+  this->Calls.erase(CurrentCall.Id.Value);
+}
+
+void Engine::advanceRelay(TimePoint Now, Call &CurrentCall, Actions &Out) {
+  if (Now < CurrentCall.Deadline) {
+    this->scheduleWake(Now, CurrentCall);
+    return;
+  }
+  this->cancelRelay(Now, CurrentCall, Out);
+  CurrentCall.PeerMayHaveSent = true;
+  this->failRelayed(CurrentCall, RefusalReason::Timeout, Out);
+}
+
+} // namespace hickorycrank::forward
--- a/src/forward/server_type.h
+++ b/src/forward/server_type.h
@@ -45,6 +45,9 @@
   auto operator<=>(const AttemptRef &) const = default;
 };
 
+/** Part of an AttemptRef that names a relay of the whole call. */
+inline constexpr uint32_t RelayPart = UINT32_MAX;
+
 /** An attempt that was sent and has not ended. */
 struct OutstandingAttempt {
   AttemptRef Ref;
--- a/src/gen/fleet_types.cpp
+++ b/src/gen/fleet_types.cpp
@@ -57,6 +57,10 @@
 void Heartbeat::__set_changedAtEpoch(const int64_t val) {
   this->changedAtEpoch = val;
 }
+
+void Heartbeat::__set_acceptsRelays(const bool val) {
+  this->acceptsRelays = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -198,6 +202,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->acceptsRelays);
+          this->__isset.acceptsRelays = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -289,6 +301,10 @@
   xfer += oprot->writeI64(this->changedAtEpoch);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("acceptsRelays", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->acceptsRelays);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -306,6 +322,7 @@
   swap(a.domain, b.domain);
   swap(a.storeStable, b.storeStable);
   swap(a.changedAtEpoch, b.changedAtEpoch);
+  swap(a.acceptsRelays, b.acceptsRelays);
   swap(a.__isset, b.__isset);
 }
 
@@ -320,6 +337,7 @@
   domain = other12.domain;
   storeStable = other12.storeStable;
   changedAtEpoch = other12.changedAtEpoch;
+  acceptsRelays = other12.acceptsRelays;
   __isset = other12.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other13) {
@@ -333,6 +351,7 @@
   domain = other13.domain;
   storeStable = other13.storeStable;
   changedAtEpoch = other13.changedAtEpoch;
+  acceptsRelays = other13.acceptsRelays;
   __isset = other13.__isset;
   return *this;
 }
@@ -349,6 +368,7 @@
   out << ", " << "domain=" << to_string(domain);
   out << ", " << "storeStable=" << to_string(storeStable);
   out << ", " << "changedAtEpoch=" << to_string(changedAtEpoch);
+  out << ", " << "acceptsRelays=" << to_string(acceptsRelays);
   out << ")";
 }
 
--- a/src/gen/fleet_types.h
+++ b/src/gen/fleet_types.h
@@ -28,8 +28,9 @@
 class ViewUpdate;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : changedAtEpoch(false) {}
+  _Heartbeat__isset() : changedAtEpoch(false), acceptsRelays(false) {}
   bool changedAtEpoch :1;
+  bool acceptsRelays :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -45,7 +46,8 @@
               storeHealthy(0),
               domain(),
               storeStable(0),
-              changedAtEpoch(0) {
+              changedAtEpoch(0),
+              acceptsRelays(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -59,6 +61,7 @@
   std::string domain;
   bool storeStable;
   int64_t changedAtEpoch;
+  bool acceptsRelays;
 
   _Heartbeat__isset __isset;
 
@@ -82,6 +85,8 @@
 
   void __set_changedAtEpoch(const int64_t val);
 
+  void __set_acceptsRelays(const bool val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(address == rhs.address))
@@ -104,6 +109,8 @@
       return false;
     if (!(changedAtEpoch == rhs.changedAtEpoch))
       return false;
+    if (!(acceptsRelays == rhs.acceptsRelays))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/src/limits/shared_budget.cpp
+++ b/src/limits/shared_budget.cpp
@@ -20,6 +20,12 @@
   ++this->currentSlice(Now).Requests;
 }
 
+void SharedBudget::cancelRequest(base::TimePoint Now) {
+  Slice &Latest = this->currentSlice(Now);
+  // One that an earlier slice counts stays counted here.
+  Latest.Requests -= Latest.Requests > 0 ? 1 : 0;
+}
+
 bool SharedBudget::tryTake(ExtraAttemptKind Kind,
                            const ExtraAttemptLimits &Limits, size_t Instances,
                            base::TimePoint Now) {
--- a/src/limits/shared_budget_base.h
+++ b/src/limits/shared_budget_base.h
@@ -30,6 +30,13 @@
    */
   void recordRequest(base::TimePoint Now);
 
+  /**
+   * Takes back a request that was counted shortly before: another instance
+   * forwards and counts it.
+   * @param Now Current time.
+   */
+  void cancelRequest(base::TimePoint Now);
+
   /**
    * Requests permission for an extra attempt and counts it if granted.
    * @param Kind Hedge or retry; hedges may use only part of the budget.
--- a/src/net/fleet_codec_func.cpp
+++ b/src/net/fleet_codec_func.cpp
@@ -73,6 +73,7 @@
   Wire.__set_changedAtEpoch(static_cast<int64_t>(Source.LastChange.Epoch));
   Wire.storeHealthy = Source.StoreHealthy;
   Wire.storeStable = Source.StoreStable;
+  Wire.__set_acceptsRelays(Source.AcceptsRelays);
   Wire.domain = Source.Domain.Value;
   Wire.peers = Source.Peers;
   for (base::Fingerprint Content : Source.QuarantinedFingerprints) {
@@ -101,6 +102,7 @@
   Result.LastChange = fromWire(Wire.changedAtEpoch, Wire.changedAt);
   Result.StoreHealthy = Wire.storeHealthy;
   Result.StoreStable = Wire.storeStable;
+  Result.AcceptsRelays = Wire.acceptsRelays; // Older releases send none.
   Result.Domain = base::FailureDomainId(Wire.domain);
   for (const std::string &Peer : Wire.peers) {
     if (config::parseEndpoint(Peer)) {
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -232,6 +232,7 @@
   Taken.Signature = std::string(Message[Names.Signature]);
   Taken.NotExecuted = Message.find(Names.NotExecuted) != Message.end();
   Taken.Misdirected = Message.result() == http::status::misdirected_request;
+  Taken.Merged = Message.find(Names.PartSignatures) != Message.end();
   Taken.Load = parseLoad(Message[Names.ServerLoad]);
   Taken.RateLimit = parseRateLimit(Message[Names.RateLimit]);
   Taken.Fields = endToEndFields(Message);
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -92,19 +92,33 @@
   }
 }
 
-void UpstreamPool::abandon(const forward::AttemptRef &Ref,
-                           forward::ServerKey Server) {
+UpstreamPool::Connection
+UpstreamPool::findAttempt(const forward::AttemptRef &Ref,
+                          forward::ServerKey Server) const {
   auto Found = this->Open.find(Server);
   if (Found == this->Open.end()) {
-    return;
+    return nullptr;
   }
   for (const Connection &Entry : Found->second) {
     if (Entry->attempt() && Entry->attempt()->Order.Ref == Ref) {
-      Connection Kept = Entry;
-      Kept->abandon(Clock::now());
-      return;
+      return Entry;
     }
   }
+  return nullptr;
+}
+
+void UpstreamPool::abandon(const forward::AttemptRef &Ref,
+                           forward::ServerKey Server) {
+  if (Connection Found = this->findAttempt(Ref, Server)) {
+    Found->abandon(Clock::now());
+  }
+}
+
+void UpstreamPool::cancel(const forward::AttemptRef &Ref,
+                          forward::ServerKey Server) {
+  if (Connection Found = this->findAttempt(Ref, Server)) {
+    Found->close();
+  }
 }
 
 void UpstreamPool::retire(forward::ServerKey Server) {
--- a/src/net/upstream_pool_base.h
+++ b/src/net/upstream_pool_base.h
@@ -47,6 +47,10 @@
    */
   void abandon(const forward::AttemptRef &Ref, forward::ServerKey Server);
 
+  /** Drops an attempt and closes its connection at once; nothing is reported.
+   * @param Ref The attempt. @param Server The server. */
+  void cancel(const forward::AttemptRef &Ref, forward::ServerKey Server);
+
   /** Closes the connections to a server once they are idle.
    * @param Server The server. */
   void retire(forward::ServerKey Server);
@@ -65,6 +69,8 @@
   friend class UpstreamConnection;
   using Connection = std::shared_ptr<UpstreamConnection>;
 
+  Connection findAttempt(const forward::AttemptRef &Ref,
+                         forward::ServerKey Server) const;
   Connection takeIdle(forward::ServerKey Server, bool Idempotent);
   void closed(const UpstreamConnection &Ended);
 
--- a/tests/forward_engine_test.cpp
+++ b/tests/forward_engine_test.cpp
@@ -248,7 +248,7 @@
   ForwardHarness Harness = ForwardHarness::tenShards();
   auto Id = Harness.sendRequest("wide.example", "/wide/x");
   Harness.takeActions<forward::SendAttempt>();
-  Harness.Engine.onCallerGone(Id, Harness.Out);
+  Harness.Engine.onCallerGone(Harness.Now, Id, Harness.Out);
   CHECK(Harness.takeActions<forward::AbandonAttempt>().size() == 10);
   Harness.advanceTime(2s);
   CHECK(Harness.takeActions<forward::SendAttempt>().empty());
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -96,6 +96,15 @@
   "services":[],"limits":{"max-header-bytes":4096,"max-body-bytes":1000,
   "header-timeout-ms":3000,"idle-timeout-ms":15000}})";
 
+/** @return A port that is free for TCP at 127.0.0.1. A gateway takes relayed
+ * requests at the TCP port with the number of its UDP port. */
+uint16_t freePort() {
+  boost::asio::io_context Context;
+  tcp::acceptor Acceptor(Context,
+                         {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return Acceptor.local_endpoint().port();
+}
+
 /** Runs a gateway on its own thread with a stand-in store and two scripted
  * backend servers. */
 class GatewayFixture {
@@ -218,7 +227,7 @@
   boost::asio::io_context Context;
   boost::asio::io_context Client;
   boost::asio::ip::udp::socket Peer{
-      this->Client, {boost::asio::ip::make_address("127.0.0.2"), 0}};
+      this->Client, {boost::asio::ip::make_address("127.0.0.2"), freePort()}};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
   std::shared_ptr<daemon::Gateway> UnderTest;
   std::thread Thread;
--- /dev/null
+++ b/tests/relay_test.cpp
@@ -0,0 +1,254 @@
+// Tests of requests that are passed on through another instance.
+#include "forward_harness.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hickorycrank;
+using namespace hickorycrank::tests;
+using namespace std::chrono_literals;
+using forward::AttemptFailure;
+using forward::CancelRelay;
+using forward::RefusalReason;
+using forward::RelayRequest;
+using forward::RespondCall;
+using forward::SendAttempt;
+
+namespace {
+
+/** Two instances that accept relays. */
+const std::vector<forward::PeerEntry> Peers = {
+    {"10.0.0.2:7", base::FailureDomainId("a")},
+    {"10.1.0.1:7", base::FailureDomainId("b")}};
+
+/** Fails all attempts and probes for a while, as if no server could be
+ * reached; calls that end meanwhile are dropped. */
+void cutLinks(ForwardHarness &Harness,
+              const std::vector<forward::PeerEntry> &Known = Peers) {
+  for (int Step = 0; Step < 40; ++Step) {
+    if (Step < 20) {
+      Harness.sendRequest("wide.example", "/wide/x");
+      Harness.sendRequest("one.example", "/one/x");
+    }
+    Harness.advanceTime(50ms);
+    for (const auto &Sent : Harness.takeActions<SendAttempt>()) {
+      Harness.failAttempt(Sent, AttemptFailure::NotSent);
+    }
+    Harness.Engine.probeServers(Harness.Now, Harness.Out);
+    for (const auto &Sent : Harness.takeActions<forward::ProbeConnection>()) {
+      Harness.Engine.onProbeResult(Harness.Now, Sent.Server, false);
+    }
+  }
+  Harness.takeActions<RespondCall>();
+  Harness.Engine.onPeers(Known);
+}
+
+/** @return The fan-out harness with no server in reach. */
+ForwardHarness stranded() {
+  ForwardHarness Harness = ForwardHarness::tenShards();
+  cutLinks(Harness);
+  return Harness;
+}
+
+void replyToRelay(ForwardHarness &Harness, const RelayRequest &Sent,
+                  forward::Reply Received) {
+  Harness.Engine.onRelayReply(Harness.Now, Sent.Ref, Sent.Peer,
+                              std::move(Received), Harness.Out);
+}
+
+forward::Reply peerRefusal(uint32_t Status) {
+  forward::Reply Result;
+  Result.Status = Status;
+  return Result;
+}
+
+} // namespace
+
+// Guards against refusing the callers of an instance that has lost its links to
+// the servers while other instances reach them.
+TEST_CASE("requests are relayed while no server can be reached", "[forward]") {
+  ForwardHarness Harness = stranded();
+  CHECK_FALSE(Harness.Engine.reachesServers());
+  Harness.sendRequest("wide.example", "/wide/x", 1s);
+  auto Relayed = Harness.takeActions<RelayRequest>();
+  REQUIRE(Relayed.size() == 1);
+  CHECK(Relayed[0].Address == "10.0.0.2:7");
+  CHECK(Relayed[0].Remaining <= 1s);
+  CHECK(Relayed[0].Remaining > 900ms);
+  CHECK(Harness.takeActions<SendAttempt>().empty());
+  forward::Reply Answer;
+  Answer.Status = 200;
+  Answer.Merged = true;
+  Answer.Body = "records";
+  replyToRelay(Harness, Relayed[0], Answer);
+  auto Responses = Harness.takeActions<RespondCall>();
+  REQUIRE(Responses.size() == 1);
+  CHECK(std::get<forward::Reply>(Responses[0].Result).Body == "records");
+}
+
+// Guards against requests that travel between instances without end.
+TEST_CASE("a relayed request is not relayed again", "[forward]") {
+  ForwardHarness Harness = stranded();
+  forward::CallRequest Request;
+  Request.Host = "wide.example";
+  Request.Target = "/wide/x";
+  Request.Remaining = 1s;
+  Request.Relayed = true;
+  Harness.Engine.onRequest(Harness.Now, Request, Harness.Out);
+  CHECK(Harness.takeActions<RelayRequest>().empty());
+  auto Responses = Harness.takeActions<RespondCall>();
+  REQUIRE(Responses.size() == 1);
+  CHECK_FALSE(ForwardHarness::refusal(Responses[0])->MayHaveRun);
+}
+
+// Guards against running a request twice that is not idempotent.
+TEST_CASE("a request that may have run is relayed only if idempotent",
+          "[forward]") {
+  for (bool Idempotent : {false, true}) {
+    ForwardHarness Harness = ForwardHarness::singleService(Idempotent);
+    Harness.Engine.onPeers(Peers);
+    Harness.sendRequest("one.example", "/one/x", 4s);
+    auto Sent = Harness.takeActions<SendAttempt>();
+    REQUIRE(Sent.size() == 1);
+    cutLinks(Harness);
+    Harness.takeActions<RelayRequest>();
+    Harness.failAttempt(Sent[0], AttemptFailure::Broken);
+    auto Responses = Harness.takeActions<RespondCall>();
+    CHECK(Responses.size() == (Idempotent ? 0 : 1));
+    for (const auto &Response : Responses) {
+      CHECK(ForwardHarness::refusal(Response)->MayHaveRun);
+    }
+  }
+}
+
+// Guards against relays that repeat a request beyond the budget.
+TEST_CASE("a relay of a request that servers may have takes from the budget",
+          "[forward]") {
+  for (double Slack : {0.0, 50.0}) {
+    ForwardHarness Harness({0, Slack});
+    Harness.publish({ForwardHarness::fanOutRoute(4, 1)});
+    for (int I = 0; I < 4; ++I) {
+      Harness.addReplicas("s" + std::to_string(I));
+    }
+    Harness.announce();
+    Harness.Engine.onPeers(Peers);
+    Harness.sendRequest("wide.example", "/wide/x", 10s);
+    REQUIRE(Harness.takeActions<SendAttempt>().size() == 4);
+    // The servers never answer; hedges and further requests do not either.
+    for (int Step = 0; Step < 12; ++Step) {
+      Harness.advanceTime(50ms);
+      Harness.sendRequest("wide.example", "/wide/x", 10s);
+      Harness.takeActions<SendAttempt>();
+      Harness.Engine.probeServers(Harness.Now, Harness.Out);
+    }
+    CHECK_FALSE(Harness.Engine.reachesServers());
+    auto Relayed = Harness.takeActions<RelayRequest>();
+    CHECK((Relayed.empty() ? 0 : 1) == (Slack > 0 ? 1 : 0));
+  }
+}
+
+// Guards against a peer that works for a caller that has left, and against a
+// caller that waits for a silent peer.
+TEST_CASE("a relay ends with its caller and at its deadline", "[forward]") {
+  ForwardHarness Harness = stranded();
+  auto Id = Harness.sendRequest("wide.example", "/wide/x", 1s);
+  REQUIRE(Harness.takeActions<RelayRequest>().size() == 1);
+  Harness.Engine.onCallerGone(Harness.Now, Id, Harness.Out);
+  CHECK(Harness.takeActions<CancelRelay>().size() == 1);
+  Harness.sendRequest("wide.example", "/wide/x", 1s);
+  REQUIRE(Harness.takeActions<RelayRequest>().size() == 1);
+  Harness.advanceTime(1s);
+  CHECK(Harness.takeActions<CancelRelay>().size() == 1);
+  auto Responses = Harness.takeActions<RespondCall>();
+  REQUIRE(Responses.size() == 1);
+  CHECK(ForwardHarness::refusal(Responses[0])->Reason ==
+        RefusalReason::Timeout);
+  CHECK(ForwardHarness::refusal(Responses[0])->MayHaveRun);
+}
+
+// Guards against a caller that is refused because one peer cannot help, and
+// against stating that a request has not run although a peer may have sent it.
+TEST_CASE("another peer gets a relay that the first one refuses", "[forward]") {
+  ForwardHarness Harness = stranded();
+  Harness.sendRequest("wide.example", "/wide/x", 1s);
+  auto First = Harness.takeActions<RelayRequest>();
+  REQUIRE(First.size() == 1);
+  replyToRelay(Harness, First[0], peerRefusal(503));
+  auto Second = Harness.takeActions<RelayRequest>();
+  REQUIRE(Second.size() == 1);
+  CHECK(Second[0].Peer != First[0].Peer);
+  replyToRelay(Harness, Second[0], peerRefusal(503));
+  auto Responses = Harness.takeActions<RespondCall>();
+  REQUIRE(Responses.size() == 1);
+  CHECK_FALSE(ForwardHarness::refusal(Responses[0])->MayHaveRun);
+  CHECK(ForwardHarness::refusal(Responses[0])->RetryAfter);
+  Harness.sendRequest("wide.example", "/wide/x", 1s);
+  auto Failing = Harness.takeActions<RelayRequest>();
+  REQUIRE(Failing.size() == 1);
+  replyToRelay(Harness, Failing[0], peerRefusal(502));
+  Responses = Harness.takeActions<RespondCall>();
+  REQUIRE(Responses.size() == 1);
+  CHECK(ForwardHarness::refusal(Responses[0])->MayHaveRun);
+}
+
+// Guards against relaying on although the servers can be reached again, and
+// against relaying because some servers of an idle instance have failed.
+TEST_CASE("requests are relayed only while the links are lost", "[forward]") {
+  ForwardHarness Harness = stranded();
+  Harness.Engine.probeServers(Harness.Now, Harness.Out);
+  Harness.advanceTime(4s);
+  Harness.Engine.probeServers(Harness.Now, Harness.Out);
+  for (const auto &Sent : Harness.takeActions<forward::ProbeConnection>()) {
+    Harness.Engine.onProbeResult(Harness.Now, Sent.Server, true);
+  }
+  Harness.Engine.probeServers(Harness.Now, Harness.Out);
+  CHECK(Harness.Engine.reachesServers());
+  Harness.sendRequest("wide.example", "/wide/x", 1s);
+  CHECK(Harness.takeActions<RelayRequest>().empty());
+  CHECK(Harness.takeActions<SendAttempt>().size() == 10);
+
+  ForwardHarness Idle = ForwardHarness::tenShards();
+  Idle.Engine.onPeers(Peers);
+  Idle.sendRequest("wide.example", "/wide/x");
+  auto Sent = Idle.takeActions<SendAttempt>();
+  Idle.failAttempt(Sent[0], AttemptFailure::NotSent);
+  for (size_t I = 1; I < Sent.size(); ++I) {
+    Idle.reply(Sent[I], ForwardHarness::successReply("sig"));
+  }
+  Idle.advanceTime(10ms);
+  for (const auto &Retry : Idle.takeActions<SendAttempt>()) {
+    Idle.reply(Retry, ForwardHarness::successReply("sig"));
+  }
+  Idle.advanceTime(3s);
+  Idle.Engine.probeServers(Idle.Now, Idle.Out);
+  CHECK(Idle.Engine.reachesServers());
+}
+
+// Guards against one peer that gets all relays, and against relays to a peer
+// that has just failed.
+TEST_CASE("relays are spread over the peers that answer", "[forward]") {
+  forward::PeerSet Known;
+  base::Random Generator(3);
+  base::TimePoint Now{1h};
+  Known.apply({{"a", base::FailureDomainId("x")},
+               {"b", base::FailureDomainId("x")},
+               {"c", base::FailureDomainId("y")}});
+  std::map<std::string, uint32_t> Count;
+  for (int I = 0; I < 30; ++I) {
+    forward::Peer *Chosen =
+        Known.choose(Now, base::FailureDomainId("x"), {}, Generator);
+    REQUIRE(Chosen != nullptr);
+    ++Chosen->Outstanding;
+    ++Count[Chosen->Entry.Address];
+  }
+  CHECK(Count["c"] >= 8);
+  CHECK(Count["a"] <= 12);
+  CHECK(Count["b"] <= 12);
+  auto *Failing = Known.choose(Now, base::FailureDomainId("x"), {}, Generator);
+  forward::ServerKey Failed = Failing->Key;
+  Known.recordEnd(Now, Failed, /*Failed=*/true);
+  CHECK(Known.choose(Now, base::FailureDomainId("x"), {}, Generator)->Key !=
+        Failed);
+  Known.apply({});
+  CHECK(Known.choose(Now + 5s, base::FailureDomainId("x"), {}, Generator) ==
+        nullptr);
+}
--- a/thrift/fleet.thrift
+++ b/thrift/fleet.thrift
@@ -15,6 +15,7 @@
   9: required string domain;        // failure domain
   10: required bool storeStable;    // no call has failed for some seconds
   11: i64 changedAtEpoch;           // epoch of the store of changedAt
+  12: bool acceptsRelays;           // serves callers' requests for others
 }
 
 struct ViewChange {
