Count each server of a part once

What could happen: a request was sent to more servers than its route allows.

Cause: the count of distinct servers was lowered for any attempt that was not sent, also one that had not raised it.

--- a/src/forward/call_type.h
+++ b/src/forward/call_type.h
@@ -109,6 +109,10 @@
   /** The call waits for its outcome; false once it has ended or was abandoned.
    */
   bool Live = true;
+  /** It counts its server in DistinctServers; earlier attempts did not go
+   * there.
+   */
+  bool FirstAtServer = true;
 };
 
 /** State of a part. */
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -226,7 +226,7 @@
       [&](const Attempt &Entry) { return Entry.Server == Backend.Key; });
   AttemptRef Ref{CurrentCall.Id.Value, Index,
                  static_cast<uint32_t>(CurrentPart.Attempts.size())};
-  CurrentPart.Attempts.push_back({Backend.Key, Now, true});
+  CurrentPart.Attempts.push_back({Backend.Key, Now, true, FirstToServer});
   CurrentPart.DistinctServers += FirstToServer ? 1 : 0;
   ++CurrentPart.PossiblyDelivered;
   ++CurrentPart.PossiblyRun;
--- a/src/forward/engine_replies.cpp
+++ b/src/forward/engine_replies.cpp
@@ -94,7 +94,9 @@
   Part &CurrentPart = CurrentCall.Parts[Ref.Part];
   if (Received.NotExecuted || Received.Misdirected) {
     --CurrentPart.PossiblyRun;
-    CurrentPart.DistinctServers -= Received.Misdirected ? 1 : 0;
+    const Attempt &Ended = CurrentPart.Attempts[Ref.Attempt];
+    CurrentPart.DistinctServers -=
+        Received.Misdirected && Ended.FirstAtServer ? 1 : 0;
     this->retryOrFail(Now, CurrentCall, Ref.Part, Out);
     return;
   }
@@ -143,7 +145,8 @@
   if (Unsent) {
     --CurrentPart.PossiblyRun;
     --CurrentPart.PossiblyDelivered;
-    --CurrentPart.DistinctServers;
+    CurrentPart.DistinctServers -=
+        CurrentPart.Attempts[Ref.Attempt].FirstAtServer ? 1 : 0;
   } else {
     ++CurrentPart.Broken;
   }
--- a/tests/forward_engine_test.cpp
+++ b/tests/forward_engine_test.cpp
@@ -243,6 +243,24 @@
   }
 }
 
+// Guards against sending a request to more servers than the route allows: an
+// attempt at a server that already had it must not free a place if it fails.
+TEST_CASE("a failed connection to a tried server allows no further server",
+          "[forward]") {
+  ForwardHarness Harness = ForwardHarness::singleService(true);
+  Harness.sendRequest("one.example", "/one/x", 4s);
+  std::set<uint64_t> Received;
+  for (int Try = 0; Try < 40; ++Try) {
+    Harness.advanceTime(20ms);
+    for (const auto &Sent : Harness.takeActions<forward::SendAttempt>()) {
+      bool Again = !Received.insert(Sent.Server.Value).second;
+      Harness.failAttempt(Sent, Again ? AttemptFailure::NotSent
+                                      : AttemptFailure::Broken);
+    }
+  }
+  CHECK(Received.size() == 2);
+}
+
 // Guards against processing calls of callers that have disconnected.
 TEST_CASE("the attempts of a disconnected caller are abandoned", "[forward]") {
   ForwardHarness Harness = ForwardHarness::tenShards();
