--- /dev/null
+++ b/tests/odd_entry_test.cpp
@@ -0,0 +1,84 @@
+// Tests of entries in the store that another writer has left.
+#include "platform/dialect_func.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hickorycrank;
+using discovery::ItemKind;
+
+namespace {
+
+std::string serverEntry(const std::string &Field, const std::string &Value) {
+  std::string Entry = R"({"service":"s0","zone":"a","state":"ready")";
+  for (const auto &[Name, Default] :
+       {std::pair("address", "\"10.0.0.1:80\""), std::pair("slots", "3"),
+        std::pair("cold-remaining-ms", "0"), std::pair("born", "1")}) {
+    Entry += ",\"" + std::string(Name) +
+             "\":" + (Field == Name ? Value : std::string(Default));
+  }
+  return Entry + "}";
+}
+
+std::string nested(size_t Depth) {
+  return std::string(Depth, '[') + std::string(Depth, ']');
+}
+
+/** @return Standard base64 of a text. */
+std::string encode(const std::string &Text) {
+  static const char *Alphabet =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string Out;
+  for (size_t I = 0; I < Text.size(); I += 3) {
+    uint32_t Bits = 0;
+    for (size_t J = 0; J < 3; ++J) {
+      Bits = Bits << 8U |
+             (I + J < Text.size() ? static_cast<uint8_t>(Text[I + J]) : 0U);
+    }
+    for (size_t J = 0; J < 4; ++J) {
+      Out += I + J > Text.size() ? '=' : Alphabet[Bits >> (18 - 6 * J) & 63U];
+    }
+  }
+  return Out;
+}
+
+} // namespace
+
+// Guards against an entry of another writer that ends the instances that read
+// it, or that names a server which cannot exist.
+TEST_CASE("an odd entry names no server", "[platform]") {
+  auto Store = platform::makeStoreDialect();
+  auto Decode = [&Store](const std::string &Value) {
+    return Store.DecodeServer({ItemKind::Server, "i-1", Value, {1, 1}});
+  };
+  REQUIRE(Decode(serverEntry("", "")));
+  for (const char *Address :
+       {"\"10.0.0.1:65536\"", "\"10.0.0.1:-1\"", "\"10.0.0.1:0\"",
+        "\"10.0.0.1:99999999999999999999\"", "\"10.0.0.1\"", "\"host:80\"",
+        "\"10.0.0.1:80 \"", "80", "null"}) {
+    INFO(Address);
+    CHECK_FALSE(Decode(serverEntry("address", Address)));
+  }
+  for (const char *Slots : {"1e400", "-3", "4294967296", "1e30", "3.5",
+                            "123456789012345678901234567890"}) {
+    INFO(Slots);
+    CHECK_FALSE(Decode(serverEntry("slots", Slots)));
+  }
+  CHECK_FALSE(Decode(serverEntry("born", "1e400")));
+  CHECK_FALSE(Decode(serverEntry("born", "-1")));
+  for (size_t Depth : {100, 100'000, 2'000'000}) {
+    CHECK_FALSE(Decode(nested(Depth)));
+    CHECK_FALSE(Decode(serverEntry("slots", nested(Depth))));
+  }
+}
+
+// Guards against an id that adds header fields to the requests to its address.
+TEST_CASE("an entry whose id is no header value names no server",
+          "[platform]") {
+  auto Store = platform::makeStoreDialect();
+  for (const std::string &Id :
+       {std::string("i-1\r\nX-Other: 1"), std::string("i\n1"), std::string(),
+        std::string("i\0001", 3)}) {
+    CHECK_FALSE(Store.DecodeServer(
+        {ItemKind::Server, Id, serverEntry("", ""), {1, 1}}));
+  }
+}
