Read a list of items that holds one without a text value

What could happen: one item whose value is missing, a number or null made the whole response of the store unreadable, so that readers stopped following it.

Cause: a mistyped value failed the response instead of its item.

--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -82,3 +82,28 @@
         {ItemKind::Server, Id, serverEntry("", ""), {1, 1}}));
   }
 }
+
+// Guards against one odd entry that makes the whole list unreadable, so that
+// the reader stops following it.
+TEST_CASE("an odd entry does not hide the others", "[platform]") {
+  auto Store = platform::makeStoreDialect();
+  std::string Good = R"({"key":"servers/i-9","value":")" +
+                     encode(serverEntry("", "")) + R"(","revision":5})";
+  for (const std::string &Odd :
+       {R"({"key":"servers/i-1","value":")" + encode(nested(100'000)) +
+            R"(","revision":4})",
+        std::string(R"({"key":"servers/i-1","value":"%%%","revision":4})"),
+        std::string(R"({"key":"servers/i-1","value":7,"revision":4})"),
+        std::string(R"({"key":"servers/i-1","revision":4})"),
+        std::string(R"({"key":"servers/i-1","value":null,"revision":4})")}) {
+    INFO(Odd.substr(0, 60));
+    auto Page =
+        Store.DecodePage(R"({"as-of":9,"items":[)" + Odd + "," + Good + "]}");
+    REQUIRE(Page);
+    CHECK(Page.value().Items.back().Name == "i-9");
+    auto Changes = Store.DecodeChanges(R"({"as-of":9,"events":[)" + Odd + "," +
+                                       Good + "]}");
+    REQUIRE(Changes);
+    CHECK(Changes.value().Changes.back().ChangedItem.Name == "i-9");
+  }
+}
