Test replies whose head is cut off

Report of other operators: a server stopped within the head of its reply and closed, and callers got a 200 with an empty body.

--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -6,6 +6,7 @@
 #include "scripted_server.h"
 
 #include <array>
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
@@ -409,6 +410,28 @@
   CHECK(Metrics.find("hickorycrank_callers_gone_total 1") != std::string::npos);
 }
 
+// Guards against an empty or short answer that looks whole because the server
+// closed the connection within the head of its reply.
+TEST_CASE("a reply whose head is cut off is no answer", "[gateway]") {
+  std::atomic<size_t> Bytes = 0;
+  auto CutScript = [&Bytes](const std::string &Head) {
+    ScriptedReply Whole = recordScript('a')(Head);
+    size_t HeadBytes = Whole.Bytes.find("\r\n\r\n") + 4;
+    Whole.Bytes.resize(std::min<size_t>(Bytes, HeadBytes - 1));
+    Whole.Close = true;
+    return Whole;
+  };
+  GatewayFixture Test(CutScript, CutScript);
+  for (size_t Cut : {0, 7, 12, 17, 18, 30, 60, 80, 100, 120, 1'000}) {
+    Bytes = Cut;
+    INFO(Cut);
+    auto Once = Test.send(nonIdempotentRequest("once" + std::to_string(Cut)));
+    CHECK(GatewayFixture::receive(Once).starts_with("HTTP/1.1 502"));
+    auto Wide = Test.send(fanOutRequest("wide" + std::to_string(Cut)));
+    CHECK(GatewayFixture::receive(Wide).starts_with("HTTP/1.1 50"));
+  }
+}
+
 // Guards against a graceful stop that aborts requests, an instance that stays
 // in rotation while it stops, and peers that still count a stopped instance
 // when they divide budgets and connections.
