Refuse requests that come late in the grace time of a stop

Report of other operators: in a planned stop, requests that came late in the grace time were passed on and cut off with no answer at its end (LOST).

What could happen here: idle connections are closed 2.3 s after SIGTERM, but a request of which a part had been read by then was passed on whenever it was whole, up to the end of the grace time.

Change: from the time at which idle connections are closed, new requests are refused at once as not run, with Retry-After; relayed ones too. All calls end with an answer 150 ms before the process does, at the latest. Before the change the late request of the test reached the server; now it gets 503. The slow request of the test got its 504 before, too: its own time ended earlier.

--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -24,6 +24,8 @@
 constexpr Duration BalancerRemovalTime = std::chrono::milliseconds(2'300);
 /** Part of the grace period reserved for the process to exit. */
 constexpr Duration ExitMargin = std::chrono::milliseconds(350);
+/** Time before the end for the last answers to reach their callers. */
+constexpr Duration LastAnswerMargin = std::chrono::milliseconds(150);
 /** Timeout of callers that do not state one. */
 constexpr std::chrono::milliseconds DefaultRemaining(30'000);
 
@@ -423,7 +425,10 @@
   this->Stopping = true;
   this->OnStopped = std::move(Done);
   this->CloseAt = Clock::now() + BalancerRemovalTime;
-  this->StopAt = Clock::now() + this->Settings.Grace - ExitMargin;
+  Duration ServiceTime = this->Settings.Grace - ExitMargin;
+  this->StopAt = Clock::now() + ServiceTime;
+  this->Engine.endCallsBy(suspendAwareNow() + ServiceTime - LastAnswerMargin);
+  this->scheduleWake();
   this->CallerServer.setClosing(true);
   this->RelayServer.setClosing(true);
 }
@@ -436,6 +441,8 @@
   if (Now < this->CloseAt) {
     return;
   }
+  // Requests on connections that are being read would be cut off at the end.
+  this->Engine.stopAdmission();
   this->CallerServer.stopAccepting();
   this->RelayServer.stopAccepting();
   bool Idle = this->CallerServer.requestsInProgress() == 0 &&
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -83,7 +83,7 @@
                          Actions &Out) {
   CallId Id(this->NextCall++);
   ++this->Counters.Calls;
-  if (!this->Table) {
+  if (!this->Table || this->AdmissionStopped) {
     this->refuse(Id, {RefusalReason::NotReady, false, NotReadyRetryAfter}, Out);
     return Id;
   }
@@ -111,7 +111,9 @@
   Duration Allowed =
       std::min<Duration>(Request.Remaining, MatchedRoute->Timeout);
   // At least half of a short time is kept.
-  CurrentCall.Deadline = Now + std::max(Allowed - DeliveryMargin, Allowed / 2);
+  CurrentCall.Deadline =
+      std::min(Now + std::max(Allowed - DeliveryMargin, Allowed / 2),
+               this->LastDeadline);
   if (MatchedRoute->fansOut()) {
     CurrentCall.Parts.resize(MatchedRoute->Shards.size());
     for (size_t I = 0; I < MatchedRoute->Shards.size(); ++I) {
@@ -136,6 +138,14 @@
   this->Crashes.quarantine(Now, Content);
 }
 
+void Engine::endCallsBy(TimePoint Deadline) {
+  this->LastDeadline = Deadline;
+  for (auto &[Id, CurrentCall] : this->Calls) {
+    CurrentCall->Deadline = std::min(CurrentCall->Deadline, Deadline);
+    this->scheduleWake(Deadline, *CurrentCall);
+  }
+}
+
 void Engine::onCrashReport(TimePoint Now, const CrashReport &Report) {
   this->Crashes.merge(Now, Report);
 }
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -117,6 +117,16 @@
   void onRelayFailure(base::TimePoint Now, const AttemptRef &Ref,
                       ServerKey Peer, AttemptFailure Kind, Actions &Out);
 
+  /**
+   * Ends all calls by a certain time, including those that arrive later: the
+   * process will end.
+   * @param Deadline Time by which each call has its final answer.
+   */
+  void endCallsBy(base::TimePoint Deadline);
+
+  /** Refuses all requests that arrive from now on. */
+  void stopAdmission() { this->AdmissionStopped = true; }
+
   /** @return Whether this instance appears to reach backend servers. */
   bool reachesServers() const { return !this->Links.isLost(); }
 
@@ -339,6 +349,9 @@
   std::map<std::string, std::map<std::string, double>> RoundRobinCredits;
   std::unordered_set<std::string> DeferrableRoutes;
   std::priority_queue<Wake, std::vector<Wake>, std::greater<>> Wakes;
+  bool AdmissionStopped = false;
+  /** Latest deadline of a call. */
+  base::TimePoint LastDeadline = base::TimePoint::max();
   uint64_t NextCall = 1;
   /** Added to the numbers of calls in crash reports, so that they differ from
    * those of other instances. */
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -110,7 +110,8 @@
  * backend servers. */
 class GatewayFixture {
 public:
-  GatewayFixture(ScriptedServer::Script First, ScriptedServer::Script Second)
+  GatewayFixture(ScriptedServer::Script First, ScriptedServer::Script Second,
+                 std::chrono::milliseconds Grace = 6s)
       : S0(std::move(First)), S1(std::move(Second)),
         Platform([this](const std::string &Head) {
           return this->Store.answer(Head);
@@ -123,7 +124,7 @@
     Settings.Domain = base::FailureDomainId("a");
     Settings.Store = *config::parseEndpoint(this->Platform.address());
     Settings.Extra = {0.2, 50, 10s};
-    Settings.Grace = 6s;
+    Settings.Grace = Grace;
     // Instances have different IP addresses and the same port.
     Settings.Heartbeats.Port = this->Peer.local_endpoint().port();
     Settings.Seeds = {{"127.0.0.2", 1}};
@@ -461,6 +462,37 @@
   CHECK(Test.peerReceivedLeave());
 }
 
+// Guards against requests that come late in the grace time, are passed on and
+// then cut off without an answer.
+TEST_CASE("a stop answers late requests", "[gateway]") {
+  std::atomic<int> Received = 0;
+  auto SlowScript = [&Received](const std::string &Head) {
+    ++Received;
+    std::this_thread::sleep_for(3s);
+    return recordScript('a')(Head);
+  };
+  GatewayFixture Test(SlowScript, recordScript('b'), 4s);
+  std::string Request =
+      "GET /o/x HTTP/1.1\r\nHost: o.example\r\n" + AttemptField + ": id1\r\n";
+  auto Late = Test.send(Request); // Its head is not whole yet.
+  std::promise<void> Stopped;
+  Test.ask([&](daemon::Gateway &Target) {
+    Target.stop([&] { Stopped.set_value(); });
+    return 0;
+  });
+  std::this_thread::sleep_for(1'500ms);
+  auto Slow = Test.send(nonIdempotentRequest("id2"));
+  std::this_thread::sleep_for(1'300ms);
+  REQUIRE(Received == 1);
+  boost::asio::write(Late, boost::asio::buffer(std::string("\r\n")));
+  std::string Refused = GatewayFixture::receive(Late);
+  CHECK(Refused.starts_with("HTTP/1.1 503"));
+  CHECK(!fieldOf(Refused, "Retry-After").empty());
+  CHECK(Received == 1);
+  CHECK(GatewayFixture::receive(Slow).starts_with("HTTP/1.1 504"));
+  CHECK(Stopped.get_future().wait_for(2s) == std::future_status::ready);
+}
+
 // Guards against request limits that are not enforced, and against wrong status
 // codes for unknown routes and malformed requests.
 TEST_CASE(
