--- a/soak/soak.py
+++ b/soak/soak.py
@@ -31,6 +31,8 @@
 APPLY_S = 3.0    # A version is in force at all instances after this time.
 LOST_VERSIONS = 20  # More than all other writes until the next version.
 LEASE_S = 2.5    # Entries of servers that have ended lapse after this time.
+RECOVER_S = 4.0  # Callers of an instance without servers are served after this.
+STRAND_SHARE = 0.1  # Of the faults are followed by a loss of all servers.
 SLOW_SHARE = 0.2  # Of the requests that are sent once.
 BALANCER_S = 2.0  # A stopping instance gets new requests for this time.
 PIPE_BYTES = 4096      # For the log of the first instance, which nobody reads.
@@ -131,6 +133,7 @@
 
     def __init__(self, options, folder, log):
         self.rng = random.Random(options.seed)
+        self.cut_rng = random.Random(f"{options.seed} cuts")
         self.options = options
         self.ledger = Ledger()
         self.store, self.store_proxy = Store(), Proxy()
@@ -337,6 +340,19 @@
         if proxy is self.store_proxy:
             self.ledger.calm_since = time.monotonic()
 
+    async def strand(self):
+        """Cuts one instance off from all servers; its peers reach them. Returns
+        when it must be serving its callers through them."""
+        gateway = self.cut_rng.choice(self.gateways)
+        Proxy.cut(gateway.process.pid, self.options.cut)
+        await asyncio.sleep(RECOVER_S)
+
+    async def strand_for_a_while(self):
+        if Proxy.cut_process is None:
+            await self.strand()
+            await asyncio.sleep(self.cut_rng.uniform(0, 2))
+            Proxy.heal()
+
     async def harm_store(self):
         self.store.mode = self.rng.choice(["busy", "silent"])
         await asyncio.sleep(self.rng.uniform(0.5, 3))
@@ -432,6 +448,8 @@
                     self.repartition())
             if fault is not None:
                 running.add(asyncio.ensure_future(fault))
+            if self.cut_rng.random() < STRAND_SHARE:
+                running.add(asyncio.ensure_future(self.strand_for_a_while()))
             gateway.reload()
             await asyncio.sleep(self.rng.uniform(0.1, 0.8))
         await asyncio.gather(*running)
@@ -467,11 +485,13 @@
         self.limit_some()
         await self.lose_versions()
         await asyncio.sleep(STABLE_S)
+        await self.strand()
         self.check_unread_log()
         self.counts.clear()
         await asyncio.gather(self.drain_while_calm(), self.check_newest())
         calm = dict(self.counts)
         self.stop = True
+        Proxy.heal()
         await asyncio.gather(*callers)
         for attempt in self.refused:
             if self.ledger.runs.get(attempt) and \
@@ -500,6 +520,8 @@
     parser.add_argument("--program", default="build/src/hickorycrank")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--cut", choices=["reset", "hang"], default="reset",
+                        help="what connections of a cut instance do")
     parser.add_argument("--log", help="file for the gateways' logs")
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder, \
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -3,6 +3,7 @@
 import base64
 import hashlib
 import json
+import os
 import time
 import urllib.parse
 
@@ -51,8 +52,33 @@
             for i in range(0, 6 * RECORD_BYTES, RECORD_BYTES)]
 
 
+def sockets_of(process):
+    """Returns the ends of a process's connections: (own port, other port)."""
+    folder = f"/proc/{process}/fd"
+    if not os.path.isdir(folder):
+        return set()  # It has ended.
+    inodes = set()
+    for fd in os.listdir(folder):
+        try:
+            inodes.add(os.readlink(f"{folder}/{fd}"))
+        except FileNotFoundError:
+            pass  # It has just been closed.
+    ends = set()
+    with open("/proc/net/tcp", encoding="ascii") as table:
+        next(table)
+        for line in table:
+            fields = line.split()
+            if f"socket:[{fields[9]}]" in inodes:
+                ends.add(tuple(int(fields[i].split(":")[1], 16)
+                               for i in (1, 2)))
+    return ends
+
+
 class Proxy:
-    """Forwards TCP connections, and harms them on demand."""
+    """Forwards TCP connections, and harms them on demand. Those of one process
+    may be cut: they are accepted, and hang or are reset."""
+    cut_process, cut_how = None, "hang"  # hang or reset
+    connections = []  # Of all proxies: (writer towards the client, state).
 
     def __init__(self):
         self.mode = "pass"  # pass, refuse, silent, one_way or slow
@@ -60,6 +86,31 @@
         self.server = None
         self.port = 0
 
+    @classmethod
+    def cut(cls, process, how):
+        """Cuts the open and all new connections of a process."""
+        cls.cut_process, cls.cut_how = process, how
+        ends = sockets_of(process)
+        for writer, state in cls.connections:
+            state["cut"] = cls.ends_of(writer) in ends
+
+    @classmethod
+    def heal(cls):
+        cls.cut_process = None
+        for writer, state in cls.connections:
+            if state["cut"]:
+                writer.transport.abort()
+
+    @classmethod
+    def is_cut(cls, writer):
+        return cls.cut_process is not None and \
+            cls.ends_of(writer) in sockets_of(cls.cut_process)
+
+    @staticmethod
+    def ends_of(writer):
+        return tuple((writer.get_extra_info(name) or ("", 0))[1]
+                     for name in ("peername", "sockname"))
+
     async def start(self, target_port):
         self.target_port = target_port
         self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
@@ -69,6 +120,11 @@
         if self.mode == "refuse":
             writer.transport.abort()
             return
+        if Proxy.is_cut(writer):
+            if Proxy.cut_how == "hang":
+                await asyncio.sleep(1)
+            writer.transport.abort()
+            return
         try:
             far_reader, far_writer = await asyncio.open_connection(
                 "127.0.0.1", self.target_port)
@@ -76,13 +132,22 @@
             writer.transport.abort()
             return
         self.writers |= {writer, far_writer}
-        await asyncio.gather(self.pump(reader, far_writer, True),
-                             self.pump(far_reader, writer, False))
+        # A cut may have begun while the other side was being connected.
+        state = {"cut": Proxy.is_cut(writer)}
+        Proxy.connections.append((writer, state))
+        await asyncio.gather(self.pump(reader, far_writer, True, state),
+                             self.pump(far_reader, writer, False, state))
+        Proxy.connections.remove((writer, state))
         self.writers -= {writer, far_writer}
 
-    async def pump(self, reader, writer, upwards):
+    async def pump(self, reader, writer, upwards, state):
         try:
             while data := await reader.read(65536):
+                if state["cut"] and Proxy.cut_how == "hang":
+                    continue
+                if state["cut"]:
+                    writer.transport.abort()
+                    return
                 while self.mode == "silent":
                     await asyncio.sleep(0.05)
                 if self.mode == "one_way" and not upwards:
