--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1,4 +1,5 @@
 // Tests a Gateway over loopback sockets with the platform's dialect.
+#include "base64_text.h"
 #include "config/settings_func.h"
 #include "daemon/gateway_base.h"
 #include "net/fleet_codec_func.h"
@@ -34,31 +35,12 @@
          Body;
 }
 
-/** @return Standard base64 of a text. */
-std::string encode(const std::string &Text) {
-  static const char *Alphabet =
-      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-  std::string Out;
-  for (size_t I = 0; I < Text.size(); I += 3) {
-    uint32_t Bits = 0;
-    for (size_t J = 0; J < 3; ++J) {
-      Bits = Bits << 8U |
-             (I + J < Text.size() ? static_cast<uint8_t>(Text[I + J]) : 0U);
-    }
-    for (size_t J = 0; J < 4; ++J) {
-      bool Pad = I + J > Text.size();
-      Out += Pad ? '=' : Alphabet[Bits >> (18 - 6 * J) & 63U];
-    }
-  }
-  return Out;
-}
-
 /** A stand-in for the platform's store whose items never change. */
 class FixedStore {
 public:
   void add(const std::string &Key, const std::string &Value) {
     this->Items.push_back(boost::json::object{
-        {"key", Key}, {"value", encode(Value)}, {"revision", 5}});
+        {"key", Key}, {"value", encodeBase64(Value)}, {"revision", 5}});
   }
 
   void addServer(const std::string &Id, const std::string &Service,
--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -1,10 +1,12 @@
 // Tests of entries in the store that another writer has left.
+#include "base64_text.h"
 #include "platform/dialect_func.h"
 
 #include <catch2/catch.hpp>
 
 using namespace hickorycrank;
 using discovery::ItemKind;
+using tests::encodeBase64;
 
 namespace {
 
@@ -23,24 +25,6 @@
   return std::string(Depth, '[') + std::string(Depth, ']');
 }
 
-/** @return Standard base64 of a text. */
-std::string encode(const std::string &Text) {
-  static const char *Alphabet =
-      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-  std::string Out;
-  for (size_t I = 0; I < Text.size(); I += 3) {
-    uint32_t Bits = 0;
-    for (size_t J = 0; J < 3; ++J) {
-      Bits = Bits << 8U |
-             (I + J < Text.size() ? static_cast<uint8_t>(Text[I + J]) : 0U);
-    }
-    for (size_t J = 0; J < 4; ++J) {
-      Out += I + J > Text.size() ? '=' : Alphabet[Bits >> (18 - 6 * J) & 63U];
-    }
-  }
-  return Out;
-}
-
 } // namespace
 
 // Guards against an entry of another writer that ends the instances that read
@@ -88,9 +72,9 @@
 TEST_CASE("an odd entry does not hide the others", "[platform]") {
   auto Store = platform::makeStoreDialect();
   std::string Good = R"({"key":"servers/i-9","value":")" +
-                     encode(serverEntry("", "")) + R"(","revision":5})";
+                     encodeBase64(serverEntry("", "")) + R"(","revision":5})";
   for (const std::string &Odd :
-       {R"({"key":"servers/i-1","value":")" + encode(nested(100'000)) +
+       {R"({"key":"servers/i-1","value":")" + encodeBase64(nested(100'000)) +
             R"(","revision":4})",
         std::string(R"({"key":"servers/i-1","value":"%%%","revision":4})"),
         std::string(R"({"key":"servers/i-1","value":7,"revision":4})"),
