--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -197,7 +197,7 @@
 
 void Engine::onProbeResult(TimePoint Now, ServerKey Probed, bool Reached) {
   if (Reached) {
-    this->Links.recordConnection(Now);
+    this->Links.recordConnection();
   } else {
     this->Crashes.recordUnreachable(Now, Probed);
   }
--- a/src/forward/engine_admission.cpp
+++ b/src/forward/engine_admission.cpp
@@ -57,7 +57,8 @@
 }
 
 bool Engine::admit(TimePoint Now, Call &CurrentCall, Actions &Out) {
-  bool Tests = CurrentCall.MatchedRoute->Idempotent && this->Links.tryTest(Now);
+  bool Tests = !CurrentCall.Relayed &&
+               this->Links.tryTest(Now, CurrentCall.MatchedRoute->Idempotent);
   if (this->Links.isLost() && !Tests && this->tryRelay(Now, CurrentCall, Out)) {
     return true;
   }
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -247,6 +247,10 @@
 void Engine::hedge(TimePoint Now, Call &CurrentCall, uint32_t Index,
                    Actions &Out) {
   Part &CurrentPart = CurrentCall.Parts[Index];
+  // Other servers are as silent, but a peer may reach them.
+  if (this->Links.isLost() && this->tryRelay(Now, CurrentCall, Out)) {
+    return;
+  }
   if (!CurrentCall.MatchedRoute->Idempotent || CurrentPart.Hedged ||
       CurrentPart.DistinctServers >= CurrentCall.MatchedRoute->MaxAttempts ||
       looksLikeCrash(CurrentCall) ||
--- a/src/forward/reachability.cpp
+++ b/src/forward/reachability.cpp
@@ -15,9 +15,10 @@
  * this instance has sent nothing to the others. */
 constexpr double SilentShare = 0.5;
 
-/** Interval between requests that test lost links, and the time after a
- * connection in which they are sent. */
+/** Interval between idempotent requests that test lost links. */
 constexpr base::Duration TestInterval = std::chrono::milliseconds(500);
+/** Time without a test after which a request that is not idempotent is one. */
+constexpr base::Duration LongTestInterval = std::chrono::seconds(2);
 
 bool isSilent(base::TimePoint Now, const Server &Backend) {
   auto IsOverdue = [Now](const OutstandingAttempt &Entry) {
@@ -30,9 +31,10 @@
 
 } // namespace
 
-bool Reachability::tryTest(base::TimePoint Now) {
-  if (!this->Lost || Now - this->LastConnection > TestInterval ||
-      Now - this->LastTest < TestInterval) {
+bool Reachability::tryTest(base::TimePoint Now, bool Idempotent) {
+  base::Duration Interval = Idempotent ? TestInterval : LongTestInterval;
+  base::TimePoint Last = std::max(this->LastTest, this->LostSince);
+  if (!this->Lost || this->Connectable == 0 || Now - Last < Interval) {
     return false;
   }
   this->LastTest = Now;
@@ -42,18 +44,33 @@
 bool Reachability::update(base::TimePoint Now, const ServerSet &Servers) {
   this->Usable = 0;
   this->Silent = 0;
+  this->Connectable = 0;
   for (const auto &[Id, Backend] : Servers.all()) {
     if (Backend->Entry.Leaving || Backend->Misdirected) {
       continue;
     }
     ++this->Usable;
     this->Silent += isSilent(Now, *Backend) ? 1 : 0;
+    this->Connectable += Backend->Unreachable ? 0 : 1;
   }
   bool Before = this->Lost;
-  this->Lost = this->Usable > 0 && Now - this->LastReply >= SilenceTime &&
-               static_cast<double>(this->Silent) >=
-                   SilentShare * static_cast<double>(this->Usable);
+  this->Lost = this->areLinksLost(Now);
+  if (this->Lost && !Before) {
+    this->LostSince = Now;
+  }
   return this->Lost != Before;
 }
 
+bool Reachability::areLinksLost(base::TimePoint Now) const {
+  if (this->Usable == 0) {
+    return false;
+  }
+  if (this->Lost) {
+    return this->LastReply <= this->LostSince;
+  }
+  return Now - this->LastReply >= SilenceTime &&
+         static_cast<double>(this->Silent) >=
+             SilentShare * static_cast<double>(this->Usable);
+}
+
 } // namespace hickorycrank::forward
--- a/src/forward/reachability_base.h
+++ b/src/forward/reachability_base.h
@@ -4,6 +4,8 @@
 #include "base/time_type.h"
 #include "forward/server_set_base.h"
 
+#include <algorithm>
+
 namespace hickorycrank::forward {
 
 /** Detects that this instance has lost its links to the backend servers. */
@@ -11,21 +13,28 @@
 public:
   /** Records a reply of any server. @param Now Current time. */
   void recordReply(base::TimePoint Now) { this->LastReply = Now; }
-  /** Records a new connection to any server, which is no proof that requests
-   * get through. @param Now Current time. */
-  void recordConnection(base::TimePoint Now) { this->LastConnection = Now; }
+  /** Records that a server accepts connections, so that a request may test the
+   * links before the next evaluation. */
+  void recordConnection() {
+    this->Connectable = std::max<size_t>(1, this->Connectable);
+  }
 
   /**
    * Chooses requests that test lost links. There are few of them, and only
-   * while connections can be established.
+   * while some server may accept connections.
    * @param Now Current time.
+   * @param Idempotent Whether the current request is idempotent. Others are
+   *   chosen only if no idempotent one comes, because they cannot be relayed
+   *   afterwards.
    * @return Whether the current request shall be sent to servers.
    */
-  bool tryTest(base::TimePoint Now);
+  bool tryTest(base::TimePoint Now, bool Idempotent);
 
   /**
    * Evaluates the links. They are lost if at least half of the servers do not
-   * answer and none has answered recently.
+   * answer and none has answered recently, and stay so until a server replies.
+   * Connections and changes of the list of servers prove nothing: links may
+   * accept connections and then be silent.
    * @param Now Current time.
    * @param Servers All servers.
    * @return Whether the result differs from the last one.
@@ -40,12 +49,16 @@
   size_t silentServers() const { return this->Silent; }
 
 private:
+  /** Decides whether the links are lost after an evaluation. */
+  bool areLinksLost(base::TimePoint Now) const;
+
   base::TimePoint LastReply;
-  base::TimePoint LastConnection;
   base::TimePoint LastTest;
+  base::TimePoint LostSince;
   bool Lost = false;
   size_t Usable = 0;
   size_t Silent = 0;
+  size_t Connectable = 0; ///< Usable servers that may accept connections.
 };
 
 } // namespace hickorycrank::forward
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -189,6 +189,11 @@
       Failure = {};
     }
     if (!Failure && End && !this->Incoming->is_done()) {
+      // The parser takes an end without any byte for a reply with status 200.
+      if (!this->Incoming->got_some()) {
+        this->fail(forward::AttemptFailure::Broken);
+        return;
+      }
       this->Incoming->put_eof(Failure);
       if (!Failure && !this->Incoming->is_done()) {
         Failure = http::error::partial_message;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -42,6 +42,31 @@
   Harness.Engine.onPeers(Known);
 }
 
+/** Lets all attempts go unanswered until the links count as lost. Connections
+ * are accepted and break after a second. */
+void silenceLinks(ForwardHarness &Harness) {
+  Harness.Engine.onPeers(Peers);
+  std::vector<std::pair<base::TimePoint, SendAttempt>> Silent;
+  for (int Step = 0; Step < 60; ++Step) {
+    Harness.sendRequest("wide.example", "/wide/x");
+    Harness.sendRequest("one.example", "/one/x");
+    Harness.advanceTime(50ms);
+    for (const auto &Sent : Harness.takeActions<SendAttempt>()) {
+      Silent.emplace_back(Harness.Now, Sent);
+    }
+    while (!Silent.empty() && Harness.Now - Silent.front().first >= 1s) {
+      Harness.failAttempt(Silent.front().second, AttemptFailure::Broken);
+      Silent.erase(Silent.begin());
+    }
+    Harness.Engine.probeServers(Harness.Now, Harness.Out);
+    for (const auto &Sent : Harness.takeActions<forward::ProbeConnection>()) {
+      Harness.Engine.onProbeResult(Harness.Now, Sent.Server, true);
+    }
+  }
+  Harness.takeActions<RespondCall>();
+  Harness.takeActions<RelayRequest>();
+}
+
 /** @return The fan-out harness with no server in reach. */
 ForwardHarness stranded() {
   ForwardHarness Harness = ForwardHarness::tenShards();
@@ -251,6 +276,73 @@
   CHECK_FALSE(Harness.takeActions<RelayRequest>().empty());
 }
 
+// Guards against taking an instance's links for regained because servers that
+// did not answer leave, or because servers are listed to which nothing has been
+// sent yet: connections are accepted and then silent, so nothing else shows it.
+TEST_CASE("silent links stay lost while the servers change", "[forward]") {
+  for (bool Leave : {true, false}) {
+    ForwardHarness Harness = ForwardHarness::tenShards();
+    silenceLinks(Harness);
+    CHECK_FALSE(Harness.Engine.reachesServers());
+    if (Leave) {
+      for (size_t I = 0; I < Harness.Listed.size(); ++I) {
+        Harness.Listed[I].Leaving = I % 3 != 2;
+      }
+    } else {
+      for (int I = 0; I < 40; ++I) {
+        Harness.addServer("s" + std::to_string(I % 10),
+                          "new-" + std::to_string(I), "b");
+      }
+    }
+    Harness.announce();
+    Harness.Engine.probeServers(Harness.Now, Harness.Out);
+    CHECK_FALSE(Harness.Engine.reachesServers());
+  }
+}
+
+// Guards against an instance that goes on relaying after its links have
+// returned: no connection is opened meanwhile, and all servers are new.
+TEST_CASE("lost links are tested without a new connection", "[forward]") {
+  for (bool Idempotent : {true, false}) {
+    ForwardHarness Harness = ForwardHarness::singleService(Idempotent);
+    silenceLinks(Harness);
+    CHECK_FALSE(Harness.Engine.reachesServers());
+    Harness.Listed.clear();
+    Harness.addReplicas("one");
+    for (forward::ServerEntry &Entry : Harness.Listed) {
+      Entry.StartedAt = 2;
+    }
+    Harness.announce();
+    Harness.takeActions<SendAttempt>();
+    bool Answered = false;
+    for (int Step = 0; Step < 80; ++Step) {
+      Harness.sendRequest("one.example", "/one/x");
+      for (const auto &Sent : Harness.takeActions<SendAttempt>()) {
+        Harness.reply(Sent, ForwardHarness::successReply("sig"));
+        Answered = true;
+      }
+      Harness.advanceTime(50ms);
+      Harness.Engine.probeServers(Harness.Now, Harness.Out);
+    }
+    CHECK(Answered);
+    CHECK(Harness.Engine.reachesServers());
+  }
+}
+
+// Guards against a caller that waits for its deadline because its request tests
+// links that are still lost.
+TEST_CASE("a request that tests silent links is relayed in time", "[forward]") {
+  ForwardHarness Harness = ForwardHarness::tenShards();
+  silenceLinks(Harness);
+  Harness.advanceTime(1s);
+  Harness.takeActions<SendAttempt>();
+  Harness.takeActions<RelayRequest>();
+  Harness.sendRequest("wide.example", "/wide/x");
+  REQUIRE(Harness.takeActions<SendAttempt>().size() == 10);
+  Harness.advanceTime(75ms); // Half of the route's target latency.
+  CHECK(Harness.takeActions<RelayRequest>().size() == 1);
+}
+
 // Guards against one peer that gets all relays, and against relays to a peer
 // that has just failed.
 TEST_CASE("relays are spread over the peers that answer", "[forward]") {
