Ask the kernel for one socket in the soak's cut

Cause: the proxy read the table of all sockets twice for each new connection. The stand-ins share its event loop and seemed silent meanwhile. Change: the owner of a connection is looked up by sock_diag, for one socket.

--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -4,6 +4,8 @@
 import hashlib
 import json
 import os
+import socket
+import struct
 import time
 import urllib.parse
 
@@ -52,26 +54,47 @@
             for i in range(0, 6 * RECORD_BYTES, RECORD_BYTES)]
 
 
-def sockets_of(process):
-    """Returns the ends of a process's connections: (own port, other port)."""
-    folder = f"/proc/{process}/fd"
-    if not os.path.isdir(folder):
-        return set()  # It has ended.
-    inodes = set()
-    for fd in os.listdir(folder):
-        try:
-            inodes.add(os.readlink(f"{folder}/{fd}"))
-        except FileNotFoundError:
-            pass  # It has just been closed.
-    ends = set()
-    with open("/proc/net/tcp", encoding="ascii") as table:
-        next(table)
-        for line in table:
-            fields = line.split()
-            if f"socket:[{fields[9]}]" in inodes:
-                ends.add(tuple(int(fields[i].split(":")[1], 16)
-                               for i in (1, 2)))
-    return ends
+class SocketTable:
+    """Finds the owner of a loopback connection's other end. It asks the kernel
+    for one socket: reading the table of all sockets for each new connection
+    held up the stand-ins for so long that they seemed to be silent."""
+    NETLINK_SOCK_DIAG, BY_FAMILY, REQUEST = 4, 20, 1  # linux/sock_diag.h
+    ANY = 0xffffffff  # Any state, interface or cookie.
+    INODE_AT = 16 + 68  # After the header, in struct inet_diag_msg.
+    kernel = None
+
+    @classmethod
+    def inode(cls, local, remote):
+        """Returns the inode of the socket local -> remote; 0 if none."""
+        if cls.kernel is None:
+            cls.kernel = socket.socket(socket.AF_NETLINK, socket.SOCK_RAW,
+                                       cls.NETLINK_SOCK_DIAG)
+        ends = struct.pack("!HH", local[1], remote[1])
+        for address in (local[0], remote[0]):
+            ends += socket.inet_aton(address) + bytes(12)
+        body = struct.pack("=BBBBI", socket.AF_INET, socket.IPPROTO_TCP, 0, 0,
+                           cls.ANY) + ends + \
+            struct.pack("=III", 0, cls.ANY, cls.ANY)
+        cls.kernel.send(struct.pack("=IHHII", 16 + len(body), cls.BY_FAMILY,
+                                    cls.REQUEST, 1, 0) + body)
+        reply = cls.kernel.recv(4096)
+        if struct.unpack_from("=H", reply, 4)[0] != cls.BY_FAMILY:
+            return 0
+        return struct.unpack_from("=I", reply, cls.INODE_AT)[0]
+
+    @staticmethod
+    def inodes_of(process):
+        """Returns the inodes of a process's sockets as text."""
+        folder = f"/proc/{process}/fd"
+        if not os.path.isdir(folder):
+            return set()  # It has ended.
+        inodes = set()
+        for fd in os.listdir(folder):
+            try:
+                inodes.add(os.readlink(f"{folder}/{fd}"))
+            except FileNotFoundError:
+                pass  # It has just been closed.
+        return inodes
 
 
 class Proxy:
@@ -90,9 +113,8 @@
     def cut(cls, process, how):
         """Cuts the open and all new connections of a process."""
         cls.cut_process, cls.cut_how = process, how
-        ends = sockets_of(process)
         for writer, state in cls.connections:
-            state["cut"] = cls.ends_of(writer) in ends
+            state["cut"] = cls.is_cut(writer)
 
     @classmethod
     def heal(cls):
@@ -103,13 +125,12 @@
 
     @classmethod
     def is_cut(cls, writer):
-        return cls.cut_process is not None and \
-            cls.ends_of(writer) in sockets_of(cls.cut_process)
-
-    @staticmethod
-    def ends_of(writer):
-        return tuple((writer.get_extra_info(name) or ("", 0))[1]
-                     for name in ("peername", "sockname"))
+        """Tells whether the client's end belongs to the cut process."""
+        client = writer.get_extra_info("peername")
+        if cls.cut_process is None or client is None:
+            return False
+        inode = SocketTable.inode(client, writer.get_extra_info("sockname"))
+        return f"socket:[{inode}]" in SocketTable.inodes_of(cls.cut_process)
 
     async def start(self, target_port):
         self.target_port = target_port
