--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -336,7 +336,8 @@
   logEvent(Links.Reaches ? LogLevel::Info : LogLevel::Warning,
            Links.Reaches ? "gateway.links_regained" : "gateway.links_lost",
            {{"silent", std::to_string(Links.Silent)},
-            {"servers", std::to_string(Links.Servers)}});
+            {"servers", std::to_string(Links.Servers)},
+            {"last_reply_from", Links.LastReplyFrom.Value}});
 }
 
 void Gateway::respond(const forward::RespondCall &Outcome) {
--- a/src/forward/action_type.h
+++ b/src/forward/action_type.h
@@ -45,6 +45,7 @@
   bool Reaches = false;
   size_t Silent = 0;  ///< Servers that do not answer.
   size_t Servers = 0; ///< All that may be used.
+  base::ServerId LastReplyFrom; ///< Empty if none or no longer listed.
 };
 
 /** Send a caller the final answer. */
--- a/src/forward/engine_relay.cpp
+++ b/src/forward/engine_relay.cpp
@@ -49,7 +49,8 @@
   }
   Out.push_back(LogReachability{!this->Links.isLost(),
                                 this->Links.silentServers(),
-                                this->Links.usableServers()});
+                                this->Links.usableServers(),
+                                this->Links.lastReplyFrom()});
   if (!this->Links.isLost()) {
     return;
   }
--- a/src/forward/engine_replies.cpp
+++ b/src/forward/engine_replies.cpp
@@ -28,7 +28,8 @@
   Call *CurrentCall = this->find(Ref.Call);
   Server *Backend = this->Servers.find(Key);
   bool Rejected = Received.NotExecuted || Received.Misdirected;
-  this->Links.recordReply(Now);
+  this->Links.recordReply(Now, Backend != nullptr ? Backend->Entry.Id
+                                                  : base::ServerId());
   if (Backend != nullptr) {
     bool ServerOk = Received.Status < 500 && !Received.Signature.empty();
     AttemptOutcome Outcome = Rejected   ? AttemptOutcome::Shed
--- a/src/forward/reachability.cpp
+++ b/src/forward/reachability.cpp
@@ -33,7 +33,10 @@
 
 bool Reachability::tryTest(base::TimePoint Now, bool Idempotent) {
   base::Duration Interval = Idempotent ? TestInterval : LongTestInterval;
-  base::TimePoint Last = std::max(this->LastTest, this->LostSince);
+  // Other requests get a while after the loss in which an idempotent one may
+  // come.
+  base::TimePoint Last =
+      Idempotent ? this->LastTest : std::max(this->LastTest, this->LostSince);
   if (!this->Lost || this->Connectable == 0 || Now - Last < Interval) {
     return false;
   }
--- a/src/forward/reachability_base.h
+++ b/src/forward/reachability_base.h
@@ -5,14 +5,19 @@
 #include "forward/server_set_base.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hickorycrank::forward {
 
 /** Detects that this instance has lost its links to the backend servers. */
 class Reachability {
 public:
-  /** Records a reply of any server. @param Now Current time. */
-  void recordReply(base::TimePoint Now) { this->LastReply = Now; }
+  /** Records a reply of any server.
+   * @param Now Current time. @param Id The server; empty if unlisted by now. */
+  void recordReply(base::TimePoint Now, base::ServerId Id) {
+    this->LastReply = Now;
+    this->LastReplyFrom = std::move(Id);
+  }
   /** Records that a server accepts connections, so that a request may test the
    * links before the next evaluation. */
   void recordConnection() {
@@ -43,6 +48,8 @@
 
   /** @return Whether the links to all servers appear to be lost. */
   bool isLost() const { return this->Lost; }
+  /** @return The server that has replied last. */
+  const base::ServerId &lastReplyFrom() const { return this->LastReplyFrom; }
   /** @return Usable servers at the last update. */
   size_t usableServers() const { return this->Usable; }
   /** @return Usable servers that did not answer at the last update. */
@@ -53,6 +60,7 @@
   bool areLinksLost(base::TimePoint Now) const;
 
   base::TimePoint LastReply;
+  base::ServerId LastReplyFrom;
   base::TimePoint LastTest;
   base::TimePoint LostSince;
   bool Lost = false;
