Take links for lost only after attempts without a reply

Cause: the time since the last reply also grows while an instance sends nothing; failures of half of the servers, some time ago, then sufficed. Change: the silence is counted from the first attempt after the last reply. Result: the test fails before and passes after.

--- a/src/forward/action_type.h
+++ b/src/forward/action_type.h
@@ -43,8 +43,8 @@
 /** Log that this instance has lost or regained its links to all servers. */
 struct LogReachability {
   bool Reaches = false;
-  size_t Silent = 0;  ///< Servers that do not answer.
-  size_t Servers = 0; ///< All that may be used.
+  size_t Silent = 0;            ///< Servers that do not answer.
+  size_t Servers = 0;           ///< All that may be used.
   base::ServerId LastReplyFrom; ///< Empty if none or no longer listed.
 };
 
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -237,6 +237,7 @@
   if (Backend.RateLimit) {
     limits::takeTurn(*Backend.RateLimit, Now, this->Instances);
   }
+  this->Links.recordAttempt(Now);
   ++this->Counters.Attempts;
   Out.push_back(SendAttempt{Ref, Backend.Key, Backend.Entry.Id,
                             Backend.Entry.Address,
--- a/src/forward/engine_relay.cpp
+++ b/src/forward/engine_relay.cpp
@@ -47,10 +47,9 @@
   if (!this->Links.update(Now, this->Servers)) {
     return;
   }
-  Out.push_back(LogReachability{!this->Links.isLost(),
-                                this->Links.silentServers(),
-                                this->Links.usableServers(),
-                                this->Links.lastReplyFrom()});
+  Out.push_back(LogReachability{
+      !this->Links.isLost(), this->Links.silentServers(),
+      this->Links.usableServers(), this->Links.lastReplyFrom()});
   if (!this->Links.isLost()) {
     return;
   }
--- a/src/forward/reachability.cpp
+++ b/src/forward/reachability.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/** Time without any reply after which the links may be lost;
+/** Time from an attempt without any reply after which the links may be lost;
  * servers pause for up to 250 ms, each at its own time. */
 constexpr base::Duration SilenceTime = std::chrono::milliseconds(600);
 /** Fraction of the servers that must be silent. Fewer may have failed while
@@ -71,7 +71,7 @@
   if (this->Lost) {
     return this->LastReply <= this->LostSince;
   }
-  return Now - this->LastReply >= SilenceTime &&
+  return this->UnansweredSince && Now - *this->UnansweredSince >= SilenceTime &&
          static_cast<double>(this->Silent) >=
              SilentShare * static_cast<double>(this->Usable);
 }
--- a/src/forward/reachability_base.h
+++ b/src/forward/reachability_base.h
@@ -5,6 +5,7 @@
 #include "forward/server_set_base.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace hickorycrank::forward {
@@ -12,10 +13,17 @@
 /** Detects that this instance has lost its links to the backend servers. */
 class Reachability {
 public:
+  /** Records an attempt at any server. @param Now Current time. */
+  void recordAttempt(base::TimePoint Now) {
+    if (!this->UnansweredSince) {
+      this->UnansweredSince = Now;
+    }
+  }
   /** Records a reply of any server.
    * @param Now Current time. @param Id The server; empty if unlisted by now. */
   void recordReply(base::TimePoint Now, base::ServerId Id) {
     this->LastReply = Now;
+    this->UnansweredSince.reset();
     this->LastReplyFrom = std::move(Id);
   }
   /** Records that a server accepts connections, so that a request may test the
@@ -37,9 +45,10 @@
 
   /**
    * Evaluates the links. They are lost if at least half of the servers do not
-   * answer and none has answered recently, and stay so until a server replies.
-   * Connections and changes of the list of servers prove nothing: links may
-   * accept connections and then be silent.
+   * answer and attempts have got no reply for a while, and stay so until a
+   * server replies. An instance without requests learns nothing about its
+   * links. Connections and changes of the list of servers prove nothing: links
+   * may accept connections and then be silent.
    * @param Now Current time.
    * @param Servers All servers.
    * @return Whether the result differs from the last one.
@@ -60,6 +69,8 @@
   bool areLinksLost(base::TimePoint Now) const;
 
   base::TimePoint LastReply;
+  /** Time of the first attempt after the last reply. */
+  std::optional<base::TimePoint> UnansweredSince;
   base::ServerId LastReplyFrom;
   base::TimePoint LastTest;
   base::TimePoint LostSince;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -416,15 +416,15 @@
 }
 
 // Guards against taking a connection that closes without a byte for an answer
-// with status 200: crashes would not be counted, and an instance that is cut off
-// from its servers would believe that they answer.
+// with status 200: crashes would not be counted, and an instance that is cut
+// off from its servers would believe that they answer.
 TEST_CASE("a connection that closes without a reply is broken", "[gateway]") {
   auto Close = [](const std::string &) { return ScriptedReply{"", true}; };
   GatewayFixture Test(Close, Close);
   auto Open = Test.send(nonIdempotentRequest("id1"));
   CHECK(GatewayFixture::receive(Open).starts_with("HTTP/1.1 502"));
-  std::string Metrics = Test.ask(
-      [](daemon::Gateway &Target) { return Target.renderMetrics(); });
+  std::string Metrics =
+      Test.ask([](daemon::Gateway &Target) { return Target.renderMetrics(); });
   CHECK(Metrics.find("hickorycrank_attempts_broken_total 1\n") !=
         std::string::npos);
   CHECK(Metrics.find("hickorycrank_attempts_server_error_total 0\n") !=
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -2,6 +2,7 @@
 #include "forward_harness.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace hickorycrank;
 using namespace hickorycrank::tests;
@@ -300,6 +301,34 @@
   }
 }
 
+// Guards against an instance that takes its links for lost, and so refuses the
+// relays of others, because half of the servers failed some time ago and it has
+// had no requests since.
+TEST_CASE("an instance without requests keeps its links", "[forward]") {
+  ForwardHarness Harness = ForwardHarness::tenShards();
+  std::set<uint64_t> Failed;
+  for (int Round = 0; Round < 60; ++Round) {
+    Harness.sendRequest("wide.example", "/wide/x");
+    for (int Step = 0; Step < 40; ++Step) {
+      for (const auto &Sent : Harness.takeActions<SendAttempt>()) {
+        bool Fails = Sent.ServerId.Value.ends_with("a") ||
+                     Sent.ServerId.Value.ends_with("b");
+        if (Fails && Sent.Ref.Part % 10 == uint32_t(Round % 10)) {
+          Failed.insert(Sent.Server.Value);
+          Harness.failAttempt(Sent, AttemptFailure::Broken);
+        } else if (Failed.count(Sent.Server.Value) == 0) {
+          Harness.reply(Sent, ForwardHarness::successReply("sig"));
+        }
+      }
+      Harness.advanceTime(10ms);
+    }
+  }
+  CHECK(Failed.size() >= 15);
+  Harness.advanceTime(5s);
+  Harness.Engine.probeServers(Harness.Now, Harness.Out);
+  CHECK(Harness.Engine.reachesServers());
+}
+
 // Guards against an instance that goes on relaying after its links have
 // returned: no connection is opened meanwhile, and all servers are new.
 TEST_CASE("lost links are tested without a new connection", "[forward]") {
