Send heartbeats to the members of a failure domain in turn

What was seen: with more than 21 to 24 instances in a failure domain a random sample got each period's heartbeats, and the rest counted as dead after 1.1 s although they ran: readers of the store and peers for relays changed hands. Cause: the timeout assumed a heartbeat from each member each 250 ms, which the bound of 24 heartbeats a period rules out in larger failure domains. Change: members of the own failure domain get heartbeats in turn; the timeout is four of the resulting intervals and a margin (1.1 s up to 17 to 21 members, 2.1 s with 23). The bound of 24 stays, so an instance sends no more. A dead instance is noticed later in failure domains of more than 17 members.

--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -9,12 +9,13 @@
 namespace {
 
 /** Time without a heartbeat after which an instance is forgotten. It is much
- * longer than HeartbeatTimeout because an instance behind a network partition
- * may still be using backend servers. */
+ * longer than the heartbeat timeout because an instance behind a network
+ * partition may still be using backend servers. */
 constexpr base::Duration PeerExpiry = std::chrono::seconds(30);
-/** An instance is considered alive for this time after its last heartbeat:
- * four heartbeat periods and a margin. */
-constexpr base::Duration HeartbeatTimeout = std::chrono::milliseconds(1'100);
+/** Heartbeats in a row without which an instance counts as dead, and the margin
+ * for their delay. Datagrams are lost occasionally. */
+constexpr uint32_t MissedHeartbeats = 4;
+constexpr base::Duration HeartbeatMargin = std::chrono::milliseconds(100);
 /** Time for this instance's own watch, or for the instance that reads the store
  * for its failure domain, to
  * deliver a change that another instance has seen. */
@@ -25,6 +26,10 @@
 /** Maximum number of heartbeats sent in one period; bounds the cost per
  * instance in a large fleet. */
 constexpr size_t MaxTargets = 24;
+/** Number of heartbeats in one period that are reserved for instances from
+ * which none has arrived yet; more are sent while the own failure domain is
+ * small. */
+constexpr size_t MinUnconfirmedTargets = 4;
 /** Maximum number of peer addresses in one heartbeat. */
 constexpr size_t MaxSharedAddresses = 6;
 /** Time after the start in which this instance only listens for heartbeats
@@ -58,7 +63,9 @@
 Roster::Roster(base::TimePoint Now, std::string OwnAddress,
                base::FailureDomainId Domain, uint64_t RandomSeed)
     : OwnAddress(std::move(OwnAddress)), Domain(std::move(Domain)),
-      StartedAt(Now), Generator(RandomSeed), NoReaderSince(Now) {}
+      StartedAt(Now), Generator(RandomSeed),
+      HeartbeatTimeout(HeartbeatPeriod * MissedHeartbeats + HeartbeatMargin),
+      NoReaderSince(Now) {}
 
 void Roster::setSeedAddresses(std::vector<std::string> Addresses) {
   this->SeedAddresses = std::move(Addresses);
@@ -95,25 +102,48 @@
   for (const auto &[Address, Since] : this->UnconfirmedAddresses) {
     Unconfirmed.insert(Address);
   }
+  std::vector<std::string> OwnDomain;
   std::vector<std::string> Targets;
-  std::vector<std::string> OtherDomains;
   for (const auto &[Address, KnownPeer] : this->Peers) {
     Unconfirmed.erase(Address);
     bool SameDomain = KnownPeer.LastHeartbeat.Domain == this->Domain;
-    (SameDomain ? Targets : OtherDomains).push_back(Address);
+    (SameDomain ? OwnDomain : Targets).push_back(Address);
   }
   Unconfirmed.erase(this->OwnAddress);
-  this->shuffle(OtherDomains);
-  OtherDomains.resize(std::min(OtherDomains.size(), MaxOtherDomainTargets));
-  Targets.insert(Targets.end(), OtherDomains.begin(), OtherDomains.end());
-  Targets.insert(Targets.end(), Unconfirmed.begin(), Unconfirmed.end());
-  if (Targets.size() > MaxTargets) {
-    this->shuffle(Targets);
-    Targets.resize(MaxTargets);
-  }
+  this->sample(Targets, MaxOtherDomainTargets);
+  size_t Left = MaxTargets - Targets.size();
+  std::vector<std::string> Unknown(Unconfirmed.begin(), Unconfirmed.end());
+  size_t Spare = Left > OwnDomain.size() ? Left - OwnDomain.size() : 0;
+  this->sample(Unknown, std::max(Spare, MinUnconfirmedTargets));
+  Targets.insert(Targets.end(), Unknown.begin(), Unknown.end());
+  this->addNextOwnDomain(MaxTargets - Targets.size(), OwnDomain, Targets);
   return Targets;
 }
 
+void Roster::addNextOwnDomain(size_t Count,
+                              const std::vector<std::string> &OwnDomain,
+                              std::vector<std::string> &Targets) {
+  constexpr size_t MinTurn =
+      MaxTargets - MaxOtherDomainTargets - MinUnconfirmedTargets;
+  size_t Periods =
+      OwnDomain.size() <= Count ? 1 : (OwnDomain.size() - 1) / MinTurn + 1;
+  this->HeartbeatTimeout =
+      HeartbeatPeriod * (MissedHeartbeats * Periods) + HeartbeatMargin;
+  Count = std::min(Count, OwnDomain.size());
+  auto Next =
+      std::upper_bound(OwnDomain.begin(), OwnDomain.end(), this->LastTarget);
+  for (size_t I = 0; I < Count; ++I) {
+    Next = Next == OwnDomain.end() ? OwnDomain.begin() : Next;
+    this->LastTarget = *Next;
+    Targets.push_back(*Next++);
+  }
+}
+
+void Roster::sample(std::vector<std::string> &Addresses, size_t Count) {
+  this->shuffle(Addresses);
+  Addresses.resize(std::min(Addresses.size(), Count));
+}
+
 void Roster::shuffle(std::vector<std::string> &Addresses) {
   for (size_t I = 0; I + 1 < Addresses.size(); ++I) {
     std::swap(Addresses[I],
@@ -139,7 +169,7 @@
   for (const auto &[Address, KnownPeer] : this->Peers) {
     const Heartbeat &Last = KnownPeer.LastHeartbeat;
     bool Ahead = Last.LastChange > LastChange &&
-                 Now - KnownPeer.LastHeardAt <= HeartbeatTimeout &&
+                 this->isAlive(Now, KnownPeer) &&
                  (Last.Domain == this->Domain) == SameDomain;
     Found.Exist = Found.Exist || Ahead;
     if (!Ahead || Now < KnownPeer.CopyAfter) {
@@ -211,8 +241,7 @@
   bool HasReader = false;
   for (const auto &[Address, KnownPeer] : this->Peers) {
     if (KnownPeer.LastHeartbeat.Domain != this->Domain ||
-        Address >= this->OwnAddress ||
-        Now - KnownPeer.LastHeardAt > HeartbeatTimeout) {
+        Address >= this->OwnAddress || !this->isAlive(Now, KnownPeer)) {
       continue;
     }
     ++PrecedingPeers;
@@ -238,7 +267,7 @@
     if (KnownPeer.LastHeartbeat.Domain == this->Domain) {
       continue;
     }
-    if (Now - KnownPeer.LastHeardAt <= HeartbeatTimeout) {
+    if (this->isAlive(Now, KnownPeer)) {
       return false;
     }
     KnowsOtherDomain = true;
@@ -250,7 +279,7 @@
   std::vector<const Heartbeat *> Targets;
   for (const auto &[Address, KnownPeer] : this->Peers) {
     if (KnownPeer.LastHeartbeat.AcceptsRelays &&
-        Now - KnownPeer.LastHeardAt <= HeartbeatTimeout) {
+        this->isAlive(Now, KnownPeer)) {
       Targets.push_back(&KnownPeer.LastHeartbeat);
     }
   }
--- a/src/fleet/roster_base.h
+++ b/src/fleet/roster_base.h
@@ -52,8 +52,9 @@
    * heartbeat.
    * @param Now Current time.
    * @return Addresses of the instances of the own failure domain, of a random
-   *   sample of the others, and those from which no heartbeat has arrived yet;
-   *   a random sample of these if they are too many.
+   *   sample of the others, and of those from which no heartbeat has arrived
+   *   yet. If the own failure domain has too many for one period, they take
+   *   turns, so that each one gets a heartbeat at a fixed interval.
    */
   std::vector<std::string> chooseTargets(base::TimePoint Now);
 
@@ -146,12 +147,26 @@
                             const discovery::StorePosition &LastChange,
                             bool SameDomain);
   void shuffle(std::vector<std::string> &Addresses);
+  /** Keeps a random sample of at most Count addresses. */
+  void sample(std::vector<std::string> &Addresses, size_t Count);
+  /** Appends the next instances of the own failure domain, in turn. */
+  void addNextOwnDomain(size_t Count, const std::vector<std::string> &OwnDomain,
+                        std::vector<std::string> &Targets);
+  /** @return Whether a peer has been heard from recently. */
+  bool isAlive(base::TimePoint Now, const Peer &KnownPeer) const {
+    return Now - KnownPeer.LastHeardAt <= this->HeartbeatTimeout;
+  }
 
   std::string OwnAddress;
   base::FailureDomainId Domain;
   base::TimePoint StartedAt;
   base::Random Generator;
   std::vector<std::string> SeedAddresses;
+  /** An instance is considered alive for this time after its last heartbeat. It
+   * follows the interval at which the members of a failure domain send to each
+   * other; they know about equally many. */
+  base::Duration HeartbeatTimeout;
+  std::string LastTarget; ///< Own failure domain's last target.
   std::map<std::string, Peer> Peers;
   /** Addresses learnt from heartbeats of others, with the time when they were
    * learnt. No heartbeat has arrived from them yet. */
--- a/tests/roster_test.cpp
+++ b/tests/roster_test.cpp
@@ -116,11 +116,14 @@
 }
 
 // The same with more instances in a failure domain than get a heartbeat in one
-// period: 24 and 97.
-TEST_CASE("no living instance counts as dead among 118",
-          "[virtual-time][known-red]") {
+// period: 24, 60 and 97.
+TEST_CASE("no living instance counts as dead among 118", "[virtual-time]") {
   CHECK(worstFalseDeaths(118, 5) == 0);
 }
+TEST_CASE("no living instance counts as dead among 300",
+          "[virtual-time][known-red]") {
+  CHECK(worstFalseDeaths(300, 5) == 0);
+}
 TEST_CASE("no living instance counts as dead among 680",
           "[virtual-time][known-red]") {
   CHECK(worstFalseDeaths(680, 7) == 0);
