--- a/tests/pallet_search_test.cpp
+++ b/tests/pallet_search_test.cpp
@@ -9,7 +9,6 @@
 using namespace hickorycrank;
 using namespace hickorycrank::tests;
 using namespace std::chrono_literals;
-using forward::AttemptFailure;
 using forward::RespondCall;
 using forward::SendAttempt;
 
