Test lost links less often the longer they stay lost

Cause: since closed connections count as broken, a test of lost links breaks at all shards at once. It is relayed, which takes a retry from each service's budget; a test each 500 ms uses up the budget within 10 s, and then the test ends as a failure. Change: the interval between tests grows with the time since the loss, from 0.5 to 2 s.

--- a/src/forward/reachability.cpp
+++ b/src/forward/reachability.cpp
@@ -15,10 +15,15 @@
  * this instance has sent nothing to the others. */
 constexpr double SilentShare = 0.5;
 
-/** Interval between idempotent requests that test lost links. */
-constexpr base::Duration TestInterval = std::chrono::milliseconds(500);
-/** Time without a test after which a request that is not idempotent is one. */
-constexpr base::Duration LongTestInterval = std::chrono::seconds(2);
+/** Bounds of the interval between idempotent requests that test lost links. It
+ * grows with the time since the loss: a failed test is relayed, and the budgets
+ * of its services pay for that. */
+constexpr base::Duration MinTestInterval = std::chrono::milliseconds(500);
+constexpr base::Duration MaxTestInterval = std::chrono::seconds(2);
+constexpr int TestIntervalDivisor = 2; ///< Of the time since the loss.
+/** Time without a test after which a request that is not idempotent is one. If
+ * it fails, its caller gets no answer. */
+constexpr base::Duration OtherTestInterval = std::chrono::seconds(4);
 
 bool isSilent(base::TimePoint Now, const Server &Backend) {
   auto IsOverdue = [Now](const OutstandingAttempt &Entry) {
@@ -32,9 +37,10 @@
 } // namespace
 
 bool Reachability::tryTest(base::TimePoint Now, bool Idempotent) {
-  base::Duration Interval = Idempotent ? TestInterval : LongTestInterval;
-  // Other requests get a while after the loss in which an idempotent one may
-  // come.
+  base::Duration Interval =
+      std::clamp((Now - this->LostSince) / TestIntervalDivisor, MinTestInterval,
+                 MaxTestInterval);
+  Interval = Idempotent ? Interval : OtherTestInterval;
   base::TimePoint Last =
       Idempotent ? this->LastTest : std::max(this->LastTest, this->LostSince);
   if (!this->Lost || this->Connectable == 0 || Now - Last < Interval) {
