--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,5 @@
-"""RECOVER: all machines are killed and come back; then one searcher crashes
-while it works on requests that many requesters send alike."""
+"""CONFIG: the store gives no response to the machines that read it for their
+zones, and serves all others."""
 import asyncio
 import os
 import sys
@@ -7,121 +7,106 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "common"))
 import platform_stand_ins as platform
 
-HOST, PREFIX, SERVICE = "hufi27.example", "/goka902/", "kafi81c"
-SEARCHERS = 7
-WORK_S = 0.16
-REQUESTS_PER_S = 85
-TIME_LIMIT_MS = 6000
-POPULAR_SHARE = 0.9  # Of the requests ask for the same cart's permit.
-FINAL_FAULT_AT_S, MACHINES_DOWN_S = 10.0, 1.2
-CRASHES_AT_S = [15.0, 21.0]  # Of one searcher of seven each.
-CRASH_S = 4.5
-RECOVERY_S = 12.0  # recovery-s
-LENGTH_S = 50
+HOST, PREFIX = "hufi27.example", "/goka902/"
+OLD, NEW = "kafi81c", "rony33d"
+MACHINES_PER_ZONE = 3
+SEARCHERS = 6  # Of each service.
+WORK_S = 0.03
+REQUESTS_PER_S = 60
+TIME_LIMIT_MS = 4000
+APPLY_S = 3.0  # configuration-apply-ms
+CHANGE_AT_S = 8.0  # A version that changes a time-out.
+REFUSAL_AFTER_S, REFUSAL_S = 1.0, 9.0  # The disruption.
+MOVE_AFTER_S = 0.3  # A version that moves the route to the other service.
+LENGTH_S = 24
 
 
 async def case(record):
-    site = platform.Deployment(record, ["heredia", "heredia", "cartago",
-                                        "alajuela"])
+    zones = [zone for zone in platform.ZONES
+             for _ in range(MACHINES_PER_ZONE)]
+    site = platform.Deployment(record, zones, own_store_addresses=True)
     try:
         return await play(record, site)
     finally:
         await site.end()
 
 
-async def final_fault(record, site, publish):
-    """Kills all machines' processes right after a version is acknowledged."""
-    await asyncio.sleep(FINAL_FAULT_AT_S)
-    await publish()
+async def publish(site, service, timeout_ms):
+    await site.publish(
+        [{"name": "r-wa5xwyh", "host": HOST, "prefix": PREFIX, "kind": "safe",
+          "timeout-ms": timeout_ms, "target-latency-ms": 600, "priority": 2,
+          "service": service, "max-attempts": 2}], {OLD: 100, NEW: 100})
+    return site.record.now()
+
+
+async def disturb(record, site, refused):
+    """Returns the time at which the store has acknowledged the version that
+    moves the route."""
+    await asyncio.sleep(CHANGE_AT_S)
+    await publish(site, OLD, TIME_LIMIT_MS - 100)
+    await asyncio.sleep(REFUSAL_AFTER_S)
     if platform.TROUBLE:
-        record.write("final fault: all processes are killed")
-        for gateway in site.gateways:
-            gateway.process.kill()
-        await asyncio.sleep(MACHINES_DOWN_S)
-        for gateway in site.gateways:
-            await gateway.start()
-        record.write("all machines are back")
-    return record.now()
-
-
-async def crash(record, site, searcher, at_s):
-    """Crashes a searcher for a while; its entry lapses after its silence and
-    is written again at its start."""
-    await asyncio.sleep(at_s)
-    if not platform.TROUBLE:
-        return
-    record.write(f"disruption: {searcher.id} crashes with "
-                 f"{searcher.running} requests at work")
-    searcher.close()
-    await asyncio.sleep(3.6)  # Three ping intervals.
-    await site.store.delete(f"servers/{searcher.id}")
-    await asyncio.sleep(CRASH_S - 3.6)
-    back = platform.Searcher(record, site.rng, SERVICE, searcher.zone, 3, 12,
-                             searcher.work_s)
-    await back.start(searcher.port)
-    site.searchers.append(back)
-    await site.report(back)
-    record.write(f"{back.id} has started at the same address")
+        site.store.refused = {gateway.store for gateway in refused}
+        names = " ".join(gateway.ip for gateway in refused)
+        record.write(f"disruption begins: no response of the store to {names}")
+    await asyncio.sleep(MOVE_AFTER_S)
+    acknowledged = await publish(site, NEW, TIME_LIMIT_MS - 100)
+    record.write(f"a version moves the route from {OLD} to {NEW}")
+    await asyncio.sleep(REFUSAL_S - MOVE_AFTER_S)
+    site.store.refused = set()
+    record.write("disruption ends")
+    return acknowledged
 
 
 async def play(record, site):
     await site.store.start()
     searchers = [
         await site.add(platform.Searcher(
-            record, site.rng, SERVICE, platform.ZONES[i % 3], 3, 12,
+            record, site.rng, service, platform.ZONES[i % 3], 3, 12,
             lambda: site.rng.uniform(0.5, 1.5) * WORK_S))
-        for i in range(SEARCHERS)]
-
-    async def publish():
-        await site.publish(
-            [{"name": "r-wa5xwyh", "host": HOST, "prefix": PREFIX,
-              "kind": "safe", "timeout-ms": TIME_LIMIT_MS,
-              "target-latency-ms": 600, "priority": 2, "service": SERVICE,
-              "max-attempts": 2}], {SERVICE: 100})
-    await publish()
+        for service in (OLD, NEW) for i in range(SEARCHERS)]
+    await publish(site, OLD, TIME_LIMIT_MS)
     await site.start()
-    answers = []  # (time sent, served)
-    statuses = {}
+    # One machine of each zone reads the store for its zone: the first address.
+    refused = [site.gateways[i * MACHINES_PER_ZONE] for i in range(3)]
+    sent, statuses = {}, {}  # By attempt: (gateway, time).
 
     async def ask(requester):
         gateway = site.rng.choice(site.gateways)
-        popular = site.rng.random() < POPULAR_SHARE
-        name = "2f" if popular else f"{site.rng.getrandbits(32):x}"
-        _, sent, status, headers, _ = await requester.ask(
-            gateway, "GET", HOST, PREFIX + name, TIME_LIMIT_MS)
-        served = status == 200 and platform.SIGNATURE.lower() in headers
-        answers.append((sent, served))
+        attempt, when, status, _, _ = await requester.ask(
+            gateway, "GET", HOST, f"{PREFIX}{site.rng.getrandbits(32):x}",
+            TIME_LIMIT_MS)
+        sent[attempt] = (gateway, when)
         statuses[status] = statuses.get(status, 0) + 1
         idle.append(requester)
 
     idle, asks = [], []
-    begin = record.now()
-    fault = asyncio.ensure_future(final_fault(record, site, publish))
-    crashes = [asyncio.ensure_future(crash(record, site, searcher, at_s))
-               for searcher, at_s in zip(searchers, CRASHES_AT_S)]
-    while record.now() < begin + LENGTH_S:
+    change = asyncio.ensure_future(disturb(record, site, refused))
+    end = record.now() + LENGTH_S
+    while record.now() < end:
         requester = idle.pop() if idle else platform.Requester(record, site.rng)
         asks.append(asyncio.ensure_future(ask(requester)))
         await asyncio.sleep(site.rng.expovariate(REQUESTS_PER_S))
-    await asyncio.gather(*asks, *crashes)
-    back_at = await fault
-    return check(record, answers, statuses, begin + FINAL_FAULT_AT_S, back_at)
-
-
-def check(record, answers, statuses, fault_at, back_at):
-    before = [served for sent, served in answers if sent < fault_at]
-    after = [served for sent, served in answers if sent > back_at + RECOVERY_S]
-    share_before = sum(before) / len(before)
-    share_after = sum(after) / len(after)
-    text = (f"{len(answers)} requests, answers by status {statuses}; served "
-            f"before the final fault {share_before:.3f} of {len(before)}, later "
-            f"than {RECOVERY_S:.0f} s after the machines were back "
-            f"{share_after:.3f} of {len(after)}")
+    await asyncio.gather(*asks)
+    return check(record, searchers, sent, refused, await change, statuses)
+
+
+def check(record, searchers, sent, refused, acknowledged, statuses):
+    breaches = []
+    for searcher in searchers:
+        for attempt, _ in searcher.runs if searcher.service == OLD else []:
+            gateway, when = sent[attempt]
+            late = when - acknowledged
+            if late > APPLY_S and gateway not in refused:
+                breaches.append(
+                    f"CONFIG: {attempt}, sent to {gateway.ip} {late:.2f} s "
+                    f"after the acknowledgement of the version that moves its "
+                    f"route to {NEW}, was run by {OLD}")
+    text = (f"{len(sent)} requests, answers by status {statuses}, "
+            f"{len(breaches)} run by the old service too late")
     record.write(text)
     print(text)
-    if share_before >= 0.25 > share_after:
-        return [f"RECOVER: {share_after:.3f} are served"]
-    return []
+    return breaches
 
 
 platform.run(case)
--- a/review/common/platform_stand_ins.py
+++ b/review/common/platform_stand_ins.py
@@ -138,15 +138,22 @@
         self.record = record
         self.items, self.events, self.revision = {}, [], 100
         self.floor = self.revision
-        self.era = 1
         self.down = False  # Silent: nothing is read or answered.
+        self.refused = set()  # Addresses whose callers get no response.
         self.changed = asyncio.Event()
         self.writers = set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
-        port = self.server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
+        self.address = await self.listen()
+
+    async def listen(self):
+        """Opens an address of the store. Machines with an address of their own
+        can be told apart."""
+        async def accept(reader, writer):
+            await self.accept(reader, writer, address)
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        return address
 
     async def put(self, key, value):
         """Accepts a write; returns at its acknowledgement."""
@@ -177,26 +184,16 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def copy(self):
-        return dict(self.items), self.revision
-
-    def restore(self, copy):
-        """Comes back from a copy; open calls are cut."""
-        self.items, self.revision = dict(copy[0]), copy[1]
-        self.events, self.floor = [], self.revision
-        self.era += 1
-        for writer in list(self.writers):
-            writer.transport.abort()
-        self.record.write(f"store is back from a copy, era {self.era}")
-
-    async def accept(self, reader, writer):
+    async def accept(self, reader, writer, address):
         self.writers.add(writer)
         while message := await read_message(reader):
             target = message[0].split(" ")[1]
             status, body = await self.answer(target)
             while self.down:
                 await asyncio.sleep(0.02)
-            writer.write(response(status, {"Store-Era": self.era,
+            if address in self.refused:
+                continue  # A call that got no response never gets one.
+            writer.write(response(status, {"Store-Era": 1,
                                            "Content-Type": "application/json"},
                                   json.dumps(body).encode()))
         self.writers.discard(writer)
@@ -337,7 +334,7 @@
     """One process of the system, started as the deploy file says."""
 
     def __init__(self, ip, zone, index, ports, seeds, store, folder):
-        self.ip, self.zone, self.ports = ip, zone, ports
+        self.ip, self.zone, self.ports, self.store = ip, zone, ports, store
         self.process = None
         self.path = os.path.join(folder, f"settings-{index}.toml")
         self.log = open(os.path.join(folder, f"log-{index}.txt"), "w")
@@ -444,8 +441,9 @@
 class Deployment:
     """A small deployment: a store, searchers, and gateways in three zones."""
 
-    def __init__(self, record, zones):
+    def __init__(self, record, zones, own_store_addresses=False):
         self.record = record
+        self.own_store_addresses = own_store_addresses
         self.rng = random.Random(SEED)
         self.store = Store(record)
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
@@ -477,8 +475,10 @@
     async def start(self):
         ports = free_ports(self.ips, 4)
         for index, (ip, zone) in enumerate(zip(self.ips, self.zones)):
-            gateway = Gateway(ip, zone, index, ports, self.ips[:3],
-                              self.store.address, self.folder.name)
+            address = (await self.store.listen() if self.own_store_addresses
+                       else self.store.address)
+            gateway = Gateway(ip, zone, index, ports, self.ips[:3], address,
+                              self.folder.name)
             await gateway.start()
             self.gateways.append(gateway)
         await self.wait_ready()
