--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 HOST, PREFIX, SERVICE = "hufi27.example", "/goka902/", "kafi81c"
 SEARCHERS, SLOTS, QUEUE = 6, 2, 2
 WORK_S = 0.06
-LENGTH_S = 80
+LENGTH_S = 95
 REQUESTS_PER_S = 200
 TIME_LIMIT_MS = 4000
 SHARE, ANSWERS = 0.5, 0.04  # Of the searchers, of their answers.
--- a/review/common/platform_stand_ins.py
+++ b/review/common/platform_stand_ins.py
@@ -243,6 +243,7 @@
         self.free = asyncio.Event()
         self.state, self.sequence = "ready", 1
         self.born = int(time.time() * 1000)
+        self.at_work = []  # Targets of the requests that it runs.
         self.runs = []  # (attempt id, time)
         self.arrivals = []  # (attempt id, time)
         self.connections = set()
@@ -310,7 +311,9 @@
         self.running += 1
         self.runs.append((attempt, self.record.now()))
         self.record.write(f"{self.id} runs {attempt}")
+        self.at_work.append(target)
         await asyncio.sleep(self.work_s())
+        self.at_work.remove(target)
         self.running -= 1
         self.free.set()
         return self.answer(target, attempt)
