--- a/review/common/platform_stand_ins.py
+++ b/review/common/platform_stand_ins.py
@@ -141,7 +141,6 @@
         self.down = False  # Silent: nothing is read or answered.
         self.refused = set()  # Addresses whose callers get no response.
         self.changed = asyncio.Event()
-        self.writers = set()
 
     async def start(self):
         self.address = await self.listen()
@@ -185,7 +184,6 @@
         self.changed = asyncio.Event()
 
     async def accept(self, reader, writer, address):
-        self.writers.add(writer)
         while message := await read_message(reader):
             target = message[0].split(" ")[1]
             status, body = await self.answer(target)
@@ -196,7 +194,6 @@
             writer.write(response(status, {"Store-Era": 1,
                                            "Content-Type": "application/json"},
                                   json.dumps(body).encode()))
-        self.writers.discard(writer)
         writer.close()
 
     async def answer(self, target):
