Send an attempt id at most once on a connection to a server

Cause: all sendings of one request carry the caller's attempt id, which is all that a reply is matched by. A request that was rejected went out again on the same connection; the late copy of the rejection then counted as the reply to the second sending. Logs of the case show the copy between both runs. Ruled out: replies on another connection, which cannot carry the copy, and replies to other attempts, which the id tells apart.

Change: a connection keeps the hashes of the ids that were sent on it and is not used for one of them again, so a copy never meets a waiting request with its id. It closes after 512 requests, which bounds the memory. A connection whose reply lacks the id is closed too: a copy of it would be taken for any next reply. The answers of instances to each other now bear the id.

Related paths: hedges and cancelled attempts use the same pool; a probe sends nothing; the template tier has an id for each attempt; a reconnect after a close starts without ids. Answers of the store bear no id: a stale watch cannot move the cursor back.

--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -349,8 +349,13 @@
   this->Calls.erase(Found);
   this->CallBySource.erase(Ended.Origin);
   this->logResult(Ended, Outcome, suspendAwareNow() - Ended.ArrivedAt);
-  Ended.Origin.Server->respond(
-      Ended.Origin.Token, toResponse(Outcome.Result, this->Dialect.Headers));
+  const net::ForwardHeaders &Names = this->Dialect.Headers;
+  net::ForwardResponse Response = toResponse(Outcome.Result, Names);
+  if (Ended.Origin.Server == &this->RelayServer) {
+    // The other instance matches the answer to its request by this id.
+    Response.set(Names.AttemptId, Ended.Source->AttemptId);
+  }
+  Ended.Origin.Server->respond(Ended.Origin.Token, std::move(Response));
 }
 
 void Gateway::logResult(const Pending &Ended,
--- a/src/daemon/gateway_message_func.cpp
+++ b/src/daemon/gateway_message_func.cpp
@@ -92,6 +92,7 @@
                                 const net::ForwardHeaders &Names) {
   net::UpstreamRequest Result;
   Result.AttemptId = std::string(Request[Names.AttemptId]);
+  Result.IdHash = base::stableHash(Result.AttemptId);
   Result.Message.version(11);
   Result.Message.method_string(Request.method_string());
   Result.Message.target(Request.target());
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -5,6 +5,7 @@
 #include "net/socket_func.h"
 #include "net/upstream_pool_base.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <utility>
@@ -39,6 +40,9 @@
 /** Maximum size of the unfinished replies on all connections together; the
  * smallest instances have 380 MB of memory. */
 constexpr uint64_t MaxTotalReplyBytes = 67'108'864;
+/** Number of requests after which a connection is closed. It bounds the memory
+ * for their attempt ids. */
+constexpr size_t MaxCarriedIds = 512;
 /** Replies up to this size are received even beyond MaxTotalReplyBytes. */
 constexpr uint64_t SmallReplyBytes = 262'144;
 
@@ -100,6 +104,7 @@
   this->PhaseSince = Clock::now();
   this->Abandoned = false;
   this->ReceivedBytes = 0;
+  this->CarriedIds.push_back(this->Current->Source->IdHash);
   const forward::SendAttempt &Order = this->Current->Order;
   this->Outgoing = this->Current->Source->Message;
   auto Left =
@@ -245,10 +250,24 @@
   return Taken;
 }
 
+bool UpstreamConnection::hasCarried(uint64_t IdHash) const {
+  return std::find(this->CarriedIds.begin(), this->CarriedIds.end(), IdHash) !=
+         this->CarriedIds.end();
+}
+
+bool UpstreamConnection::mayStayOpen() const {
+  // A late copy of a reply without the attempt id could not be told from the
+  // next reply.
+  bool Echoed = this->Incoming->get().find(this->Owner.Names.AttemptId) !=
+                this->Incoming->get().end();
+  return Echoed && this->Incoming->keep_alive() &&
+         !this->Incoming->need_eof() && !this->SawForeign &&
+         !this->WritePending && !this->Retired &&
+         this->CarriedIds.size() < MaxCarriedIds;
+}
+
 void UpstreamConnection::finish(bool Reusable) {
-  bool KeepOpen = Reusable && this->Incoming->keep_alive() &&
-                  !this->Incoming->need_eof() && !this->SawForeign &&
-                  !this->WritePending && !this->Retired;
+  bool KeepOpen = Reusable && this->mayStayOpen();
   if (this->Buffer.size() > 0) {
     ++this->Owner.Counters.SurplusBytes;
     KeepOpen = false;
--- a/src/net/upstream_connection_base.h
+++ b/src/net/upstream_connection_base.h
@@ -11,6 +11,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace hickorycrank::net {
 
@@ -75,6 +76,13 @@
   /** @param Now Current time. @param MaxIdle Longest idle time.
    * @return Whether a request may be sent on it. */
   bool isReusable(base::TimePoint Now, base::Duration MaxIdle) const;
+  /**
+   * Tells whether a late copy of a reply to an attempt id may still arrive on
+   * this connection.
+   * @param IdHash UpstreamRequest::IdHash of the attempt id.
+   * @return Whether a request with that id has been sent on it.
+   */
+  bool hasCarried(uint64_t IdHash) const;
 
   bool Retired = false; ///< Close it once it is idle.
 
@@ -90,6 +98,7 @@
   void parse(bool End);
   void finish(bool Reusable);
   bool isForeign(const Parser &Received) const;
+  bool mayStayOpen() const;
   forward::Reply takeReply(Parser &Received) const;
   void fail(forward::AttemptFailure Kind);
   void becomeIdle();
@@ -105,7 +114,9 @@
   bool WritePending = false;
   uint64_t ReceivedBytes = 0; ///< Since the request was written.
   bool SawForeign = false;    ///< A reply to another attempt was dropped.
-  base::Duration KeepAlive;   ///< Idle time that the server allows.
+  /** UpstreamRequest::IdHash of each request that was sent on it. */
+  std::vector<uint64_t> CarriedIds;
+  base::Duration KeepAlive; ///< Idle time that the server allows.
   std::optional<UpstreamAttempt> Current;
   boost::beast::http::request<boost::beast::http::string_body> Outgoing;
   boost::beast::flat_buffer Buffer;
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -31,16 +31,17 @@
   }
 }
 
-UpstreamPool::Connection UpstreamPool::takeIdle(forward::ServerKey Server,
-                                                bool Idempotent) {
-  auto Found = this->Open.find(Server);
+UpstreamPool::Connection UpstreamPool::takeIdle(const UpstreamAttempt &Next) {
+  auto Found = this->Open.find(Next.Order.Server);
   if (Found == this->Open.end()) {
     return nullptr;
   }
   // The one used last is at the end and the least likely to be closed.
   auto &Connections = Found->second;
+  base::Duration MaxIdle = Next.Order.Idempotent ? AnyIdle : MaxIdleOnce;
   for (auto It = Connections.rbegin(); It != Connections.rend(); ++It) {
-    if ((*It)->isReusable(Clock::now(), Idempotent ? AnyIdle : MaxIdleOnce)) {
+    if ((*It)->isReusable(Clock::now(), MaxIdle) &&
+        !(*It)->hasCarried(Next.Source->IdHash)) {
       Connection Taken = *It;
       std::rotate(std::prev(It.base()), It.base(), Connections.end());
       return Taken;
@@ -51,7 +52,7 @@
 
 void UpstreamPool::send(UpstreamAttempt Next) {
   forward::ServerKey Server = Next.Order.Server;
-  if (Connection Idle = this->takeIdle(Server, Next.Order.Idempotent)) {
+  if (Connection Idle = this->takeIdle(Next)) {
     ++this->Counters.Reused;
     Idle->send(std::move(Next));
     return;
--- a/src/net/upstream_pool_base.h
+++ b/src/net/upstream_pool_base.h
@@ -71,7 +71,9 @@
 
   Connection findAttempt(const forward::AttemptRef &Ref,
                          forward::ServerKey Server) const;
-  Connection takeIdle(forward::ServerKey Server, bool Idempotent);
+  /** @return An idle connection on which no reply to an earlier sending of the
+   * request may arrive, or nullptr. */
+  Connection takeIdle(const UpstreamAttempt &Next);
   void closed(const UpstreamConnection &Ended);
 
   boost::asio::io_context &Context;
--- a/src/net/upstream_type.h
+++ b/src/net/upstream_type.h
@@ -5,6 +5,7 @@
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -29,6 +30,7 @@
   /** Without fields of one connection; the framing fields are set. */
   boost::beast::http::request<boost::beast::http::string_body> Message;
   std::string AttemptId;
+  uint64_t IdHash = 0; ///< Hash of AttemptId.
 };
 
 /** One attempt to be sent. */
