Give each view an age, and read the store above a bound of it

Cause: a watch that waits for a change looks like one that is never answered. A reader counted as healthy for up to 5 s and 1.2 s more, and the others left the reading to it without a limit of their own. Ruled out: copies between instances, the takeover order, refused calls.

Change: only an answered call makes a view younger. Heartbeats state the age (a new optional field), and an instance takes it over once its own view is as new as the sender's. Why this works: an instance that lacks an acknowledged change has a view at least as old as the acknowledgement, so it reads by itself in time, whoever is silent.

--- a/src/config/gateway_settings_type.h
+++ b/src/config/gateway_settings_type.h
@@ -23,6 +23,9 @@
   limits::ExtraAttemptLimits
       Extra; ///< Extra attempts of all instances together.
   std::chrono::milliseconds Grace{6'000}; ///< From SIGTERM to SIGKILL.
+  /** Time after the store's acknowledgement within which a change must be in
+   * force on all instances. */
+  std::chrono::milliseconds ChangeBound{3'000};
 };
 
 } // namespace hickorycrank::config
--- a/src/daemon/fleet_node_base.h
+++ b/src/daemon/fleet_node_base.h
@@ -87,10 +87,11 @@
   bool pullNewerView(base::TimePoint Now,
                      const discovery::StorePosition &ChangedAt, bool Reading);
 
-  /** @param Now Current time. @param HasView Whether the view has any content.
-   * @return Whether this instance should read the store. */
-  bool shouldRead(base::TimePoint Now, bool HasView) {
-    return this->Members.shouldReadStore(Now, HasView);
+  /** Decides whether this instance should read the store; see
+   * fleet::Roster::shouldReadStore(). */
+  bool shouldRead(base::TimePoint Now, bool HasView, base::Duration ViewAge,
+                  const fleet::ReadTiming &Timing) {
+    return this->Members.shouldReadStore(Now, HasView, ViewAge, Timing);
   }
 
   /** @param Now Current time. @return Whether heartbeats from all other
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -3,9 +3,10 @@
 #include "base/digest_func.h"
 #include "config/settings_func.h"
 #include "daemon/gateway_message_func.h"
+#include "daemon/suspend_clock_func.h"
+#include "fleet/view_freshness_func.h"
 
 #include <cmath>
-#include <ctime>
 #include <utility>
 
 namespace hickorycrank::daemon {
@@ -38,13 +39,6 @@
 
 } // namespace
 
-TimePoint suspendAwareNow() {
-  timespec Now{};
-  clock_gettime(CLOCK_BOOTTIME, &Now);
-  return TimePoint(std::chrono::seconds(Now.tv_sec) +
-                   std::chrono::nanoseconds(Now.tv_nsec));
-}
-
 Gateway::Gateway(boost::asio::io_context &Context,
                  config::GatewaySettings Settings, GatewayDialect Dialect)
     : Context(Context), Settings(std::move(Settings)),
@@ -141,9 +135,14 @@
                      }});
   this->Reader = std::make_shared<StoreReader>(
       this->Context, this->Settings.Store, this->Dialect.Store, Seed,
+      fleet::makeReadTiming(this->Settings.ChangeBound),
       StoreReaderCallbacks{[this](const discovery::Update &Update) {
-        this->onUpdate(Update, this->Reader->isStable(Clock::now()));
-      }});
+                             this->onUpdate(
+                                 Update, this->Reader->isStable(Clock::now()));
+                           },
+                           [this](base::TimePoint VerifiedAt) {
+                             fleet::recordOwnRead(this->Freshness, VerifiedAt);
+                           }});
   this->CallerServer.start();
   this->RelayServer.start();
   this->ReadinessServer.start();
@@ -469,6 +468,8 @@
   this->Settings.Seeds = Changed.Seeds;
   this->Settings.Extra = Changed.Extra;
   this->Settings.Grace = Changed.Grace;
+  this->Settings.ChangeBound = Changed.ChangeBound;
+  this->Reader->setTiming(fleet::makeReadTiming(Changed.ChangeBound));
   this->Engine.setExtraLimits(Changed.Extra);
   this->Fleet->setSeeds(Changed.Seeds);
   logEvent(LogLevel::Info, "gateway.reloaded",
--- a/src/daemon/gateway_base.h
+++ b/src/daemon/gateway_base.h
@@ -8,6 +8,7 @@
 #include "daemon/store_reader_base.h"
 #include "discovery/view_base.h"
 #include "fleet/transfer_limit_base.h"
+#include "fleet/view_freshness_type.h"
 #include "forward/engine_base.h"
 #include "metrics/registry_base.h"
 #include "net/forward_server_base.h"
@@ -147,6 +148,7 @@
   std::map<RequestSource, uint64_t> CallBySource;
   std::map<std::string, DecodedServer> DecodedServers;
   discovery::StorePosition ConfigurationPosition; ///< Last one decoded.
+  fleet::ViewFreshness Freshness;
   bool ServersKnown = false;
   /** Whether no heartbeats arrive from other failure domains and some shards
    * are unreachable. */
@@ -159,13 +161,6 @@
   std::function<void()> OnStopped; ///< Set from stop() until it has finished.
 };
 
-/**
- * Reads a monotonic clock that also advances while the machine is suspended, so
- * that the callers' remaining time is correct after a resume.
- * @return Current time.
- */
-base::TimePoint suspendAwareNow();
-
 } // namespace hickorycrank::daemon
 
 #endif
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -1,6 +1,8 @@
 #include "daemon/gateway_base.h"
 
 #include "config/settings_func.h"
+#include "daemon/suspend_clock_func.h"
+#include "fleet/view_freshness_func.h"
 #include "net/fleet_codec_func.h"
 
 #include <charconv>
@@ -43,8 +45,16 @@
 }
 
 void Gateway::updateReaderRole(base::TimePoint Now) {
-  if (this->Fleet->shouldRead(Now, this->View.position().Revision != 0)) {
-    this->Reader->resume(this->View.position());
+  fleet::applyPendingClaims(this->Freshness, this->View.lastChange());
+  base::Duration Age = fleet::viewAge(this->Freshness, suspendAwareNow());
+  bool HasView = this->View.position().Revision != 0;
+  if (this->Fleet->shouldRead(
+          Now, HasView, Age,
+          fleet::makeReadTiming(this->Settings.ChangeBound))) {
+    this->Reader->resume(this->View.position(),
+                         this->Freshness.VerifiedAt
+                             ? std::optional<base::Duration>(Age)
+                             : std::nullopt);
   } else {
     this->Reader->pause();
   }
@@ -129,6 +139,8 @@
 }
 
 void Gateway::onHeartbeat(const fleet::Heartbeat &Received) {
+  fleet::recordClaim(this->Freshness, suspendAwareNow(), Received,
+                     this->View.lastChange());
   if (Received.Crashes) {
     for (const forward::CrashReport &Report : *Received.Crashes) {
       this->Engine.onCrashReport(suspendAwareNow(), Report);
@@ -146,6 +158,10 @@
   Message.LastChange = this->View.lastChange();
   Message.AcceptsRelays = !this->Stopping && this->Engine.routes() &&
                           this->ServersKnown && this->Engine.reachesServers();
+  if (this->Freshness.VerifiedAt) {
+    Message.ViewAge = std::chrono::ceil<std::chrono::milliseconds>(
+        suspendAwareNow() - *this->Freshness.VerifiedAt);
+  }
   Message.StoreHealthy = this->Reader->isHealthy();
   Message.StoreStable = this->Reader->isStable(Clock::now());
   Message.QuarantinedFingerprints =
@@ -249,6 +265,11 @@
   Add("connections", static_cast<double>(this->Upstream.connections()));
   Add("calls_in_progress", static_cast<double>(this->Engine.callsInProgress()));
   Add("view_revision", static_cast<double>(this->View.position().Revision));
+  if (this->Freshness.VerifiedAt) {
+    Add("view_age_seconds", base::toMilliseconds(fleet::viewAge(
+                                this->Freshness, suspendAwareNow())) /
+                                1'000);
+  }
   Add("view_epoch", static_cast<double>(this->View.position().Epoch));
   Add("config_version",
       static_cast<double>(this->Engine.routes() ? this->Engine.routes()->Version
--- a/src/daemon/store_reader.cpp
+++ b/src/daemon/store_reader.cpp
@@ -1,8 +1,10 @@
 #include "daemon/store_reader_base.h"
 
 #include "daemon/log_func.h"
+#include "daemon/suspend_clock_func.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace hickorycrank::daemon {
@@ -12,13 +14,12 @@
 
 namespace {
 
-/** Duration of a watch and so the time to detect a lost response. Shorter
- * watches cost more calls, which are rate-limited and billed. */
-constexpr std::chrono::milliseconds WatchWait(5'000);
-/** Duration of a watch at first and soon after a failure: a store that has just
- * recovered may never answer a call made during its outage, and changes are
- * delayed until the watch times out. */
+/** Maximum duration of a watch at first and soon after a failure: a store that
+ * has just recovered may never answer a call made during its outage, and
+ * changes are delayed until the watch times out. */
 constexpr std::chrono::milliseconds ShortWatchWait(500);
+/** Minimum duration of a watch: each call is billed. */
+constexpr std::chrono::milliseconds MinWatchWait(100);
 /** Timeout of a call in addition to the requested wait, until its response
  * arrives, and for each pause in it. */
 constexpr std::chrono::milliseconds ResponseTimeout(1'200);
@@ -47,8 +48,9 @@
 StoreReader::StoreReader(boost::asio::io_context &Context,
                          const config::Endpoint &Store,
                          discovery::StoreProtocol Dialect, uint64_t Seed,
+                         fleet::ReadTiming Timing,
                          StoreReaderCallbacks Callbacks)
-    : Context(Context), Dialect(std::move(Dialect)),
+    : Context(Context), Dialect(std::move(Dialect)), Timing(Timing),
       Callbacks(std::move(Callbacks)),
       Pool(std::make_shared<net::HttpPool>(Context, Store, storeLimits())),
       NextCallTimer(Context), Generator(Seed), LastInterruption(Clock::now()) {}
@@ -59,7 +61,8 @@
           {"revision", std::to_string(Position.Revision)}};
 }
 
-void StoreReader::resume(const discovery::StorePosition &Known) {
+void StoreReader::resume(const discovery::StorePosition &Known,
+                         std::optional<Duration> ViewAge) {
   if (!this->Paused || this->Stopped) {
     return;
   }
@@ -67,7 +70,12 @@
   // The store's health while this instance was paused is unknown.
   this->LastInterruption = Clock::now();
   this->Cursor.advanceTo(Known);
-  logEvent(LogLevel::Info, "store.reading", this->positionFields());
+  LogFields Fields = this->positionFields();
+  if (ViewAge) {
+    Fields["view_age_ms"] =
+        std::to_string(std::lround(base::toMilliseconds(*ViewAge)));
+  }
+  logEvent(LogLevel::Info, "store.reading", Fields);
   this->scheduleNextCall(Duration::zero());
 }
 
@@ -91,8 +99,13 @@
   this->Pool->releaseCallbacks();
 }
 
+bool StoreReader::isHealthy() const {
+  return this->Healthy && this->VerifiedAt &&
+         suspendAwareNow() - *this->VerifiedAt <= this->Timing.ReaderAge;
+}
+
 bool StoreReader::isStable(base::TimePoint Now) const {
-  return this->isHealthy() && Now - this->LastInterruption >= StableTime;
+  return this->Healthy && Now - this->LastInterruption >= StableTime;
 }
 
 void StoreReader::restartWatch() {
@@ -105,20 +118,45 @@
 }
 
 void StoreReader::list() {
-  this->Counters.Listings += this->Cursor.pageCursor().empty() ? 1 : 0;
+  if (this->Cursor.pageCursor().empty()) {
+    ++this->Counters.Listings;
+    this->SentAt = suspendAwareNow();
+  }
   this->sendRequest(this->Dialect.ListTarget(this->Cursor.pageCursor()),
                     ResponseTimeout);
 }
 
-void StoreReader::watch() {
+std::chrono::milliseconds StoreReader::nextWatchWait() const {
   bool FailedRecently =
       this->LastFailure && Clock::now() - *this->LastFailure < StableTime;
   // The first watch after resume() is short too, as no call has succeeded yet.
-  std::chrono::milliseconds Wait =
-      FailedRecently || !this->Healthy ? ShortWatchWait : WatchWait;
-  this->sendRequest(
-      this->Dialect.WatchTarget(this->Cursor.position().Revision, Wait),
-      Wait + ResponseTimeout);
+  std::chrono::milliseconds Longest =
+      FailedRecently || !this->Healthy
+          ? std::min(ShortWatchWait, this->Timing.WatchWait)
+          : this->Timing.WatchWait;
+  // An answer that ended the last watch early has verified less of its time.
+  base::Duration Age =
+      suspendAwareNow() - this->VerifiedAt.value_or(suspendAwareNow());
+  auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->Timing.WatchWait - Age);
+  return std::max(std::min(Left, Longest), std::min(MinWatchWait, Longest));
+}
+
+void StoreReader::watch() {
+  this->SentWait = this->nextWatchWait();
+  this->SentAt = suspendAwareNow();
+  this->sendRequest(this->Dialect.WatchTarget(this->Cursor.position().Revision,
+                                              this->SentWait),
+                    this->SentWait + ResponseTimeout);
+}
+
+void StoreReader::recordVerification(bool Empty) {
+  base::TimePoint Complete = this->SentAt;
+  // Without changes the store has answered at the end of the wait.
+  if (Empty && suspendAwareNow() - this->SentAt >= this->SentWait) {
+    Complete += this->SentWait;
+  }
+  this->VerifiedAt = std::max(this->VerifiedAt.value_or(Complete), Complete);
 }
 
 void StoreReader::sendRequest(const std::string &Target, Duration Timeout) {
@@ -198,7 +236,9 @@
     this->list();
     return;
   }
+  this->recordVerification(/*Empty=*/false);
   this->Callbacks.OnUpdate(*Complete);
+  this->Callbacks.OnVerified(*this->VerifiedAt);
   this->recordSuccess();
   this->watch();
 }
@@ -209,7 +249,9 @@
     return;
   }
   discovery::Update Newer = this->Cursor.addChanges(std::move(*Decoded));
+  this->recordVerification(Newer.Changes.empty());
   this->Callbacks.OnUpdate(Newer);
+  this->Callbacks.OnVerified(*this->VerifiedAt);
   this->recordSuccess();
   this->scheduleNextCall(Newer.Changes.empty() ? Duration::zero()
                                                : CoalescingTime);
--- a/src/daemon/store_reader_base.h
+++ b/src/daemon/store_reader_base.h
@@ -6,6 +6,7 @@
 #include "config/settings_type.h"
 #include "daemon/log_func.h"
 #include "discovery/read_cursor_base.h"
+#include "fleet/view_freshness_type.h"
 #include "net/http_pool_base.h"
 
 #include <boost/asio/io_context.hpp>
@@ -20,6 +21,9 @@
 /** Callbacks to the owner of a StoreReader. */
 struct StoreReaderCallbacks {
   std::function<void(const discovery::Update &)> OnUpdate;
+  /** The updates so far hold all that the store acknowledged before a time of
+   * suspendAwareNow(). */
+  std::function<void(base::TimePoint)> OnVerified;
 };
 
 /** Counters of the calls to the store. */
@@ -43,17 +47,21 @@
    * @param Store Endpoint of the store.
    * @param Dialect Request targets and decoders of the store's API.
    * @param Seed Seed of the jitter.
+   * @param Timing Duration of a watch, and when the reader counts as failed.
    * @param Callbacks Callbacks to the owner.
    */
   StoreReader(boost::asio::io_context &Context, const config::Endpoint &Store,
               discovery::StoreProtocol Dialect, uint64_t Seed,
-              StoreReaderCallbacks Callbacks);
+              fleet::ReadTiming Timing, StoreReaderCallbacks Callbacks);
 
   /**
    * Starts reading the store; no effect unless paused.
    * @param Known Position to watch from; revision 0 starts with a listing.
+   * @param ViewAge Age of the view, for the log; nothing if it was never
+   *   complete.
    */
-  void resume(const discovery::StorePosition &Known);
+  void resume(const discovery::StorePosition &Known,
+              std::optional<base::Duration> ViewAge = std::nullopt);
   /** Stops reading the store until resume(); other instances read it. */
   void pause();
   /** Cancels all calls; no callback is called afterwards. */
@@ -62,8 +70,13 @@
   /** Restarts a watch that missed a change which another instance has seen. */
   void restartWatch();
 
-  /** @return Whether the store is being read and the last call succeeded. */
-  bool isHealthy() const { return this->Healthy; }
+  /** Changes the timing from the next call on. @param Changed The timing. */
+  void setTiming(const fleet::ReadTiming &Changed) { this->Timing = Changed; }
+
+  /** @return Whether the store is being read, the last call succeeded and a
+   * call has verified the view recently: a call that is waiting for changes
+   * looks the same when the store never answers it. */
+  bool isHealthy() const;
   /** @param Now Current time. @return Whether the store has been read
    * without failure for long enough that instances whose entries expired have
    * registered again. */
@@ -86,6 +99,9 @@
   void onResponse(const net::HttpResponse &Response);
   void onPage(const net::HttpResponse &Response);
   void onWatch(const net::HttpResponse &Response);
+  /** Notes up to which time the store's answer is complete. */
+  void recordVerification(bool Empty);
+  std::chrono::milliseconds nextWatchWait() const;
   void recordFailure(const std::string &Reason);
   void recordSuccess();
   void retryLater();
@@ -94,6 +110,7 @@
 
   boost::asio::io_context &Context;
   discovery::StoreProtocol Dialect;
+  fleet::ReadTiming Timing;
   StoreReaderCallbacks Callbacks;
   std::shared_ptr<net::HttpPool> Pool;
   boost::asio::steady_timer NextCallTimer;
@@ -107,6 +124,10 @@
   net::ExchangeId Exchange = 0;
   base::TimePoint LastInterruption; ///< Last failure, gap or resumption.
   std::optional<base::TimePoint> LastFailure; ///< Last failed call.
+  // Times of suspendAwareNow().
+  base::TimePoint SentAt; ///< Watch, or first page of the listing.
+  std::optional<base::TimePoint> VerifiedAt; ///< Reported by OnVerified.
+  std::chrono::milliseconds SentWait{};      ///< Time that the watch waits.
   StoreReaderCounters Counters;
 };
 
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -5,6 +5,7 @@
 #include "discovery/store_position_type.h"
 #include "forward/crash_report_type.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,6 +26,9 @@
   /** The sender reaches backend servers and forwards the requests of instances
    * that do not, at the TCP port with the number of Address. */
   bool AcceptsRelays = false;
+  /** Time since which changes may be missing in the sender's view; nothing if
+   * it has never been complete. */
+  std::optional<std::chrono::milliseconds> ViewAge;
   std::vector<std::string> Peers; ///< Sample of known addresses.
   /** Fingerprints of requests that crash backend servers; used only if there
    * are no reports, as in heartbeats of older releases. */
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -231,7 +231,8 @@
   Found->second.CopyAfter = Now + (Busy ? BusyDelay : FailedCopyDelay);
 }
 
-bool Roster::shouldReadStore(base::TimePoint Now, bool HasView) {
+bool Roster::shouldReadStore(base::TimePoint Now, bool HasView,
+                             base::Duration ViewAge, const ReadTiming &Timing) {
   bool LongBehind = this->BehindSince != base::TimePoint::max() &&
                     Now - this->BehindSince >= MaxTimeBehind;
   if (HasView && LongBehind) {
@@ -247,6 +248,14 @@
     ++PrecedingPeers;
     HasReader = HasReader || KnownPeer.LastHeartbeat.StoreHealthy;
   }
+  // The readers of all failure domains may have failed unnoticed. The first
+  // instances in the takeover order spare the others a call.
+  base::Duration AgeLimit = Timing.ReaderAge;
+  AgeLimit += Timing.TakeoverStep * PrecedingPeers;
+  if (HasView &&
+      ViewAge > std::min<base::Duration>(AgeLimit, Timing.MaxViewAge)) {
+    return true;
+  }
   if (HasReader) {
     this->NoReaderSince = Now;
     return false;
--- a/src/fleet/roster_base.h
+++ b/src/fleet/roster_base.h
@@ -4,6 +4,7 @@
 #include "base/random_base.h"
 #include "base/time_type.h"
 #include "fleet/fleet_type.h"
+#include "fleet/view_freshness_type.h"
 
 #include <map>
 #include <optional>
@@ -97,12 +98,16 @@
    * each failure domain does, so that the number of calls does not grow with
    * the fleet. If it can no longer reach the store, the others take over in the
    * order of their addresses. An instance that gets no copy of a newer view
-   * from its peers reads the store itself.
+   * from its peers reads the store itself, and so does one whose view nobody
+   * has verified for too long, whatever its peers say of themselves.
    * @param Now Current time.
    * @param HasView Whether this instance has a view of the store.
+   * @param ViewAge Time since which changes may be missing in the view.
+   * @param Timing Limits of ViewAge.
    * @return Whether to read the store.
    */
-  bool shouldReadStore(base::TimePoint Now, bool HasView);
+  bool shouldReadStore(base::TimePoint Now, bool HasView,
+                       base::Duration ViewAge, const ReadTiming &Timing);
 
   /**
    * Tells whether this instance appears to be partitioned from all other
--- a/src/gen/fleet_types.cpp
+++ b/src/gen/fleet_types.cpp
@@ -224,6 +224,11 @@
   this->crashes = val;
 __isset.crashes = true;
 }
+
+void Heartbeat::__set_viewAgeMs(const int64_t val) {
+  this->viewAgeMs = val;
+__isset.viewAgeMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -393,6 +398,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->viewAgeMs);
+          this->__isset.viewAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -501,6 +514,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.viewAgeMs) {
+    xfer += oprot->writeFieldBegin("viewAgeMs", ::apache::thrift::protocol::T_I64, 14);
+    xfer += oprot->writeI64(this->viewAgeMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -520,6 +538,7 @@
   swap(a.changedAtEpoch, b.changedAtEpoch);
   swap(a.acceptsRelays, b.acceptsRelays);
   swap(a.crashes, b.crashes);
+  swap(a.viewAgeMs, b.viewAgeMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -536,6 +555,7 @@
   changedAtEpoch = other26.changedAtEpoch;
   acceptsRelays = other26.acceptsRelays;
   crashes = other26.crashes;
+  viewAgeMs = other26.viewAgeMs;
   __isset = other26.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other27) {
@@ -551,6 +571,7 @@
   changedAtEpoch = other27.changedAtEpoch;
   acceptsRelays = other27.acceptsRelays;
   crashes = other27.crashes;
+  viewAgeMs = other27.viewAgeMs;
   __isset = other27.__isset;
   return *this;
 }
@@ -569,6 +590,7 @@
   out << ", " << "changedAtEpoch=" << to_string(changedAtEpoch);
   out << ", " << "acceptsRelays=" << to_string(acceptsRelays);
   out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
+  out << ", " << "viewAgeMs="; (__isset.viewAgeMs ? (out << to_string(viewAgeMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/fleet_types.h
+++ b/src/gen/fleet_types.h
@@ -78,10 +78,11 @@
 std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : changedAtEpoch(false), acceptsRelays(false), crashes(false) {}
+  _Heartbeat__isset() : changedAtEpoch(false), acceptsRelays(false), crashes(false), viewAgeMs(false) {}
   bool changedAtEpoch :1;
   bool acceptsRelays :1;
   bool crashes :1;
+  bool viewAgeMs :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -98,7 +99,8 @@
               domain(),
               storeStable(0),
               changedAtEpoch(0),
-              acceptsRelays(0) {
+              acceptsRelays(0),
+              viewAgeMs(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -114,6 +116,7 @@
   int64_t changedAtEpoch;
   bool acceptsRelays;
   std::vector<CrashReport>  crashes;
+  int64_t viewAgeMs;
 
   _Heartbeat__isset __isset;
 
@@ -141,6 +144,8 @@
 
   void __set_crashes(const std::vector<CrashReport> & val);
 
+  void __set_viewAgeMs(const int64_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(address == rhs.address))
@@ -169,6 +174,10 @@
       return false;
     else if (__isset.crashes && !(crashes == rhs.crashes))
       return false;
+    if (__isset.viewAgeMs != rhs.__isset.viewAgeMs)
+      return false;
+    else if (__isset.viewAgeMs && !(viewAgeMs == rhs.viewAgeMs))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/src/net/fleet_codec_func.cpp
+++ b/src/net/fleet_codec_func.cpp
@@ -23,6 +23,8 @@
 constexpr size_t MaxListedPeers = 256;
 constexpr size_t MaxQuarantined = 256;
 constexpr size_t MaxItems = 65'536;
+/** An older view counts as never complete. */
+constexpr std::chrono::milliseconds MaxViewAge = std::chrono::hours(1);
 
 template <typename Message> std::string encode(const Message &Source) {
   auto Buffer = std::make_shared<TMemoryBuffer>();
@@ -74,6 +76,9 @@
   Wire.storeHealthy = Source.StoreHealthy;
   Wire.storeStable = Source.StoreStable;
   Wire.__set_acceptsRelays(Source.AcceptsRelays);
+  if (Source.ViewAge) {
+    Wire.__set_viewAgeMs(Source.ViewAge->count());
+  }
   Wire.domain = Source.Domain.Value;
   Wire.peers = Source.Peers;
   for (base::Fingerprint Content : Source.QuarantinedFingerprints) {
@@ -102,7 +107,8 @@
                config::parseEndpoint(Wire.control) &&
                Wire.peers.size() <= MaxListedPeers &&
                Wire.quarantined.size() <= MaxQuarantined &&
-               Wire.crashes.size() <= MaxQuarantined;
+               Wire.crashes.size() <= MaxQuarantined && Wire.viewAgeMs >= 0 &&
+               Wire.viewAgeMs <= MaxViewAge.count();
   if (!Valid) {
     return Error{ErrorKind::Protocol, "heartbeat: a field is out of range"};
   }
@@ -114,6 +120,9 @@
   Result.StoreHealthy = Wire.storeHealthy;
   Result.StoreStable = Wire.storeStable;
   Result.AcceptsRelays = Wire.acceptsRelays; // Older releases send none.
+  if (Wire.__isset.viewAgeMs) {
+    Result.ViewAge = std::chrono::milliseconds(Wire.viewAgeMs);
+  }
   Result.Domain = base::FailureDomainId(Wire.domain);
   for (const std::string &Peer : Wire.peers) {
     if (config::parseEndpoint(Peer)) {
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -1,6 +1,8 @@
 // Tests StoreReader over loopback sockets with the platform's dialect.
 #include "config/settings_func.h"
 #include "daemon/store_reader_base.h"
+#include "daemon/suspend_clock_func.h"
+#include "fleet/view_freshness_func.h"
 #include "platform/dialect_func.h"
 #include "scripted_server.h"
 
@@ -74,12 +76,14 @@
   std::optional<base::TimePoint> LearnedAt;
   auto Reader = std::make_shared<daemon::StoreReader>(
       Context, *config::parseEndpoint(Platform.address()),
-      platform::makeDialect().Store, 1,
+      platform::makeDialect().Store, 1, fleet::makeReadTiming(3s),
       daemon::StoreReaderCallbacks{[&](const discovery::Update &Update) {
-        if (!Update.Changes.empty() && !LearnedAt) {
-          LearnedAt = base::Clock::now();
-        }
-      }});
+                                     if (!Update.Changes.empty() &&
+                                         !LearnedAt) {
+                                       LearnedAt = base::Clock::now();
+                                     }
+                                   },
+                                   [](base::TimePoint) {}});
   Reader->resume({0, FromKnownRevision ? 5U : 0U});
   base::TimePoint GiveUp = base::Clock::now() + 10s;
   while (!LearnedAt && base::Clock::now() < GiveUp) {
@@ -91,6 +95,38 @@
   CHECK(*LearnedAt - Store.unansweredSince() < 3s);
 }
 
+// Guards against a reader that the other instances rely on although the store
+// has not answered its watch: the reader counts as failed, and says of no time
+// after its last answered call that its view is complete.
+TEST_CASE("a reader whose watch is unanswered is not healthy", "[fleet]") {
+  UnresponsiveStore Store(1);
+  ScriptedServer Platform(
+      [&](const std::string &Head) { return Store.answer(Head); });
+  boost::asio::io_context Context;
+  fleet::ReadTiming Timing = fleet::makeReadTiming(1s);
+  std::optional<base::TimePoint> VerifiedAt;
+  auto Reader = std::make_shared<daemon::StoreReader>(
+      Context, *config::parseEndpoint(Platform.address()),
+      platform::makeDialect().Store, 1, Timing,
+      daemon::StoreReaderCallbacks{
+          [](const discovery::Update &) {},
+          [&](base::TimePoint Time) { VerifiedAt = Time; }});
+  base::TimePoint StartedAt = daemon::suspendAwareNow();
+  Reader->resume({});
+  for (int I = 0; I < 100 && !Reader->isHealthy(); ++I) {
+    Context.run_for(1ms);
+  }
+  CHECK(Reader->isHealthy());
+  REQUIRE(VerifiedAt);
+  CHECK(*VerifiedAt >= StartedAt);
+  base::TimePoint Listed = *VerifiedAt;
+  Context.run_for(Timing.ReaderAge + 20ms);
+  CHECK_FALSE(Reader->isHealthy());
+  CHECK(*VerifiedAt == Listed);
+  Reader->stop();
+  Store.end();
+}
+
 // Guards against memory that grows while a server sends a chunk's extension
 // without end: the parser does not limit its length.
 TEST_CASE("an endless chunk extension ends the exchange", "[fleet]") {
--- a/tests/view_test.cpp
+++ b/tests/view_test.cpp
@@ -2,6 +2,7 @@
 #include "discovery/view_base.h"
 #include "fleet/roster_base.h"
 #include "fleet/transfer_limit_base.h"
+#include "fleet/view_freshness_func.h"
 #include "net/fleet_codec_func.h"
 
 #include <algorithm>
@@ -206,27 +207,37 @@
   }
 }
 
+namespace {
+
+/** @return Whether an instance whose view was verified just now reads. */
+bool readsStore(fleet::Roster &Members, base::TimePoint Now, bool HasView) {
+  return Members.shouldReadStore(Now, HasView, /*ViewAge=*/0s,
+                                 fleet::makeReadTiming(3s));
+}
+
+} // namespace
+
 // Guards against store calls growing with the size of the fleet, and against a
 // failure domain in which no instance reads the store.
 TEST_CASE("one instance of a failure domain reads the store", "[fleet]") {
   base::TimePoint Now{1h};
   fleet::Roster First = roster(Now, "10.0.0.1:7");
   fleet::Roster Second = roster(Now, "10.0.0.2:7");
-  CHECK_FALSE(First.shouldReadStore(Now, false));
-  CHECK(First.shouldReadStore(Now + 400ms, false));
+  CHECK_FALSE(readsStore(First, Now, false));
+  CHECK(readsStore(First, Now + 400ms, false));
   Second.onHeartbeat(Now + 400ms, heartbeat("10.0.0.1:7", "a", true));
-  CHECK_FALSE(Second.shouldReadStore(Now + 400ms, false));
+  CHECK_FALSE(readsStore(Second, Now + 400ms, false));
   // The first instance cannot reach the store, recovers and then dies.
   Second.onHeartbeat(Now + 600ms, heartbeat("10.0.0.1:7", "a", false));
-  CHECK_FALSE(Second.shouldReadStore(Now + 700ms, true));
-  CHECK(Second.shouldReadStore(Now + 1s, true));
+  CHECK_FALSE(readsStore(Second, Now + 700ms, true));
+  CHECK(readsStore(Second, Now + 1s, true));
   Second.onHeartbeat(Now + 1100ms, heartbeat("10.0.0.1:7", "a", true));
-  CHECK_FALSE(Second.shouldReadStore(Now + 1200ms, true));
-  CHECK(Second.shouldReadStore(Now + 3s, true));
+  CHECK_FALSE(readsStore(Second, Now + 1200ms, true));
+  CHECK(readsStore(Second, Now + 3s, true));
   // A reader of another failure domain does not count.
   fleet::Roster Third = roster(Now, "10.0.0.3:7");
   Third.onHeartbeat(Now + 400ms, heartbeat("10.0.0.1:7", "b", true));
-  CHECK(Third.shouldReadStore(Now + 500ms, true));
+  CHECK(readsStore(Third, Now + 500ms, true));
 }
 
 // Guards against an instance that cannot reach the store and copies no peer.
@@ -308,7 +319,7 @@
     base::TimePoint At = Now + Step * 25ms;
     Members.onHeartbeat(At, heartbeat("10.0.0.1:7", "a", true, 9));
     Members.findInstanceWithNewerView(At, {1, 5}, false);
-    bool Reads = Members.shouldReadStore(At, true);
+    bool Reads = readsStore(Members, At, true);
     if (Step <= 20) {
       CHECK_FALSE(Reads);
     } else if (Step == 80) {
@@ -316,7 +327,7 @@
     }
   }
   Members.findInstanceWithNewerView(Now + 2s, {1, 9}, false);
-  CHECK_FALSE(Members.shouldReadStore(Now + 2s, true));
+  CHECK_FALSE(readsStore(Members, Now + 2s, true));
 }
 
 // Guards against following a peer that has not noticed a restore of the store.
--- a/thrift/fleet.thrift
+++ b/thrift/fleet.thrift
@@ -24,6 +24,7 @@
   11: i64 changedAtEpoch;           // epoch of the store of changedAt
   12: bool acceptsRelays;           // serves callers' requests for others
   13: optional list<CrashReport> crashes; // replaces quarantined
+  14: optional i64 viewAgeMs;       // since the view was known to be complete
 }
 
 struct ViewChange {
