Count the servers of a call on all instances that forward it

Cause: a relay carried the request and its time, but not what had been tried, so the peer began with all attempts, also for parts that were sent or answered before. The trace shows it: the entry instance is in one failure domain, and the third server is asked from an instance of another. Three gaps of the same kind: a second peer after one that had tried servers; another service of a split route; an attempt that was never sent took its server out of the count.

Change: a relayed request names the servers that may have each part, and the peer counts them like its own. A second peer is asked only if the first was not reached or states that it has sent the request to no server; it then takes it out of its budget. The number of servers is computed from the attempts that may have arrived. Ruled out: hedges and retries of one instance, and servers that ended, which the rule does not count.

The peer of "another peer gets a relay that the first one refuses" now states that it has sent nothing, which is the case that the test is about.

--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -5,6 +5,7 @@
 #include "daemon/gateway_message_func.h"
 #include "daemon/suspend_clock_func.h"
 #include "fleet/view_freshness_func.h"
+#include "net/relay_header_func.h"
 
 #include <cmath>
 #include <utility>
@@ -244,6 +245,11 @@
       remainingTime(Request, this->Dialect.Headers).value_or(DefaultRemaining);
   CallDetails.Content = requestFingerprint(Request);
   CallDetails.Relayed = Origin.Server == &this->RelayServer;
+  if (CallDetails.Relayed) {
+    auto Tried = Request[net::RelayTriedField];
+    CallDetails.Tried = net::decodeTriedServers({Tried.data(), Tried.size()});
+    Request.erase(net::RelayTriedField);
+  }
   auto Source = std::make_shared<const net::UpstreamRequest>(
       toUpstream(std::move(Request), this->Dialect.Headers));
   NewCall.Source = Source;
@@ -304,7 +310,7 @@
     return; // An earlier action in this list ended the call.
   }
   uint32_t Share = this->Engine.connectionShare(Send.Server);
-  this->Upstream.send({Send, Owner->second.Source, Share});
+  this->Upstream.send({Send, Owner->second.Source, Share, {}});
 }
 
 void Gateway::execute(const forward::RelayRequest &Request) {
@@ -319,8 +325,9 @@
   Order.Address = Request.Address;
   Order.Remaining = Request.Remaining;
   Order.Idempotent = Request.Idempotent;
-  this->PeerLinks.send(
-      {Order, Owner->second.Source, forward::PeerSet::MaxOutstanding});
+  this->PeerLinks.send({Order, Owner->second.Source,
+                        forward::PeerSet::MaxOutstanding,
+                        net::encodeTriedServers(Request.Tried)});
 }
 
 void Gateway::execute(const forward::LogRateLimit &Limit) {
@@ -353,6 +360,10 @@
   if (Ended.Origin.Server == &this->RelayServer) {
     // The other instance matches the answer to its request by this id.
     Response.set(Names.AttemptId, Ended.Source->AttemptId);
+    bool Unsent = Outcome.Summary.Unsent == Outcome.Summary.Shards;
+    if (Unsent && std::holds_alternative<forward::Refusal>(Outcome.Result)) {
+      Response.set(net::RelayUnsentField, "1");
+    }
   }
   Ended.Origin.Server->respond(Ended.Origin.Token, std::move(Response));
 }
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -16,8 +16,9 @@
 
 namespace {
 
-/** Header bytes that an instance may add to a request that it relays. */
-constexpr uint32_t AddedHeaderBytes = 1'024;
+/** Header bytes that an instance may add to a request that it relays: two
+ * servers at each of several hundred shards. */
+constexpr uint32_t AddedHeaderBytes = 32'768;
 
 /** @return Value of a query parameter; 0 if it is missing or no number. */
 uint64_t numberParameter(const net::HttpRequest &Request,
--- a/src/forward/action_type.h
+++ b/src/forward/action_type.h
@@ -32,6 +32,7 @@
   std::string Address;        ///< "IP:port".
   base::Duration Remaining{}; ///< Time remaining for an answer.
   bool Idempotent = false;
+  std::vector<TriedServer> Tried; ///< Servers that may have the request.
 };
 
 /** End a relay at once, so that the other instance notices it. */
--- a/src/forward/call_type.h
+++ b/src/forward/call_type.h
@@ -21,6 +21,12 @@
 /** Identifies a caller's request within an engine; never reused. */
 using CallId = base::StrongId<struct CallTag, uint64_t>;
 
+/** A server that may have received a request from another instance. */
+struct TriedServer {
+  std::string Service;
+  base::ServerId Server;
+};
+
 /** The properties of a caller's request that the engine uses. */
 struct CallRequest {
   std::string_view Host;   ///< Valid only during onRequest().
@@ -29,6 +35,9 @@
   base::Fingerprint Content;  ///< Hash that is equal for identical requests.
   /** Another instance has relayed it; it is not relayed again. */
   bool Relayed = false;
+  /** Servers at which that instance has tried it; they count towards the
+   * route's maximum number of attempts. */
+  std::vector<TriedServer> Tried;
 };
 
 /** Header fields in the order of the message. */
@@ -44,6 +53,7 @@
   bool NotExecuted = false; ///< Rejected without being executed.
   bool Misdirected = false; ///< A different server is using the address.
   bool Merged = false;      ///< Another instance has merged it from replies.
+  bool Unsent = false; ///< Another instance has sent the request to no server.
   std::optional<LoadReport> Load;
   /** Requests per second that the server accepts from all instances together;
    * nothing if it states no limit. */
@@ -105,14 +115,14 @@
 /** One attempt to get a reply for a part. */
 struct Attempt {
   ServerKey Server;
+  base::ServerId ServerId;
   base::TimePoint SentAt;
   /** The call waits for its outcome; false once it has ended or was abandoned.
    */
   bool Live = true;
-  /** It counts its server in DistinctServers; earlier attempts did not go
-   * there.
-   */
-  bool FirstAtServer = true;
+  /** Its server may have received the request; false once it is known that
+   * nothing was sent or that another server received it. */
+  bool MayHaveArrived = true;
 };
 
 /** State of a part. */
@@ -127,9 +137,8 @@
 struct Part {
   ServicePool *Pool = nullptr;
   PartPhase Phase = PartPhase::Waiting;
-  bool Hedged = false;          ///< A hedge has been sent.
-  bool RateLimited = false;     ///< All servers had reached their rate limits.
-  uint32_t DistinctServers = 0; ///< Distinct servers that may have received it.
+  bool Hedged = false;      ///< A hedge has been sent.
+  bool RateLimited = false; ///< All servers had reached their rate limits.
   uint32_t PossiblyDelivered = 0; ///< Attempts that a server may have received.
   uint32_t PossiblyRun = 0;       ///< Attempts that a server may have executed.
   uint32_t Retries = 0;
@@ -138,8 +147,17 @@
   std::optional<Reply> Result; ///< Reply of an answered part.
   std::optional<Reply> Error;  ///< Last signed error reply of a server.
   boost::container::small_vector<Attempt, 2> Attempts;
+  /** Servers that may have received it from another instance. */
+  boost::container::small_vector<base::ServerId, 2> TriedElsewhere;
 };
 
+/**
+ * Counts the servers that may have received a part, from any instance.
+ * @param Counted The part.
+ * @return Number of distinct servers.
+ */
+uint32_t distinctServers(const Part &Counted);
+
 /** A call that another instance forwards. */
 struct Relay {
   ServerKey Peer;
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -122,8 +122,9 @@
   } else {
     CurrentCall.Parts.resize(1);
     CurrentCall.Parts[0].Pool =
-        &this->Servers.pool(this->chooseService(*MatchedRoute));
+        &this->Servers.pool(this->chooseService(*MatchedRoute, Request.Tried));
   }
+  addTriedServers(CurrentCall, Request.Tried);
   this->Calls[Id.Value] = std::move(Owned);
   for (Part &Needed : CurrentCall.Parts) {
     Needed.Pool->Budget.recordRequest(Now);
--- a/src/forward/engine_admission.cpp
+++ b/src/forward/engine_admission.cpp
@@ -30,7 +30,14 @@
 
 } // namespace
 
-const std::string &Engine::chooseService(const Route &MatchedRoute) {
+const std::string &
+Engine::chooseService(const Route &MatchedRoute,
+                      const std::vector<TriedServer> &Tried) {
+  for (const WeightedService &Choice : MatchedRoute.Choices) {
+    if (!Tried.empty() && Tried.front().Service == Choice.Service) {
+      return Choice.Service;
+    }
+  }
   if (MatchedRoute.Choices.size() == 1) {
     return MatchedRoute.Choices.front().Service;
   }
@@ -84,6 +91,7 @@
   }
   if (UnavailableParts.size() > MaxOmitted) {
     auto Wait = std::chrono::ceil<std::chrono::milliseconds>(RetryAt - Now);
+    uncountUnsentRelay(Now, CurrentCall);
     this->refuse(CurrentCall.Id, {unsentReason(CurrentCall), false, Wait}, Out,
                  summarise(CurrentCall));
     this->Calls.erase(CurrentCall.Id.Value);
@@ -124,6 +132,7 @@
         Expected > RefuseThreshold && hasLongQueue(Now, *Best) ? 1 : 0;
   }
   if (Overloaded > MaxOmitted) {
+    uncountUnsentRelay(Now, CurrentCall);
     this->refuse(CurrentCall.Id,
                  {RefusalReason::Overloaded, false, OverloadRetryAfter}, Out,
                  summarise(CurrentCall));
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -114,6 +114,24 @@
              : Remaining;
 }
 
+uint32_t distinctServers(const Part &Counted) {
+  boost::container::small_vector<std::string_view, 4> Distinct;
+  auto Add = [&Distinct](std::string_view Id) {
+    if (std::find(Distinct.begin(), Distinct.end(), Id) == Distinct.end()) {
+      Distinct.push_back(Id);
+    }
+  };
+  for (const base::ServerId &Id : Counted.TriedElsewhere) {
+    Add(Id.Value);
+  }
+  for (const Attempt &Entry : Counted.Attempts) {
+    if (Entry.MayHaveArrived) {
+      Add(Entry.ServerId.Value);
+    }
+  }
+  return static_cast<uint32_t>(Distinct.size());
+}
+
 Server *Engine::choose(TimePoint Now, const Call &CurrentCall,
                        const Part &CurrentPart, ServerChoice Choice) {
   boost::container::small_vector<ServerKey, 4> Tried;
@@ -121,6 +139,11 @@
     for (const Attempt &Entry : CurrentPart.Attempts) {
       Tried.push_back(Entry.Server);
     }
+    for (const base::ServerId &Id : CurrentPart.TriedElsewhere) {
+      if (const Server *Known = this->Servers.find(Id)) {
+        Tried.push_back(Known->Key);
+      }
+    }
   }
   ReplicaCriteria Criteria;
   Criteria.Now = Now;
@@ -137,20 +160,32 @@
 
 Server *Engine::chooseForAttempt(TimePoint Now, const Call &CurrentCall,
                                  const Part &CurrentPart) {
-  if (CurrentPart.DistinctServers < CurrentCall.MatchedRoute->MaxAttempts) {
+  if (distinctServers(CurrentPart) < CurrentCall.MatchedRoute->MaxAttempts) {
     Server *Untried =
         this->choose(Now, CurrentCall, CurrentPart, ServerChoice::Untried);
     return Untried != nullptr
                ? Untried
                : this->choose(Now, CurrentCall, CurrentPart, ServerChoice::Any);
   }
+  return this->chooseTried(Now, CurrentPart);
+}
+
+Server *Engine::chooseTried(TimePoint Now, const Part &CurrentPart) {
   Server *Last = nullptr;
-  for (const Attempt &Entry : CurrentPart.Attempts) {
-    Server *Tried = this->Servers.find(Entry.Server);
-    if (Tried != nullptr && !Tried->Entry.Leaving && !Tried->Misdirected &&
+  auto Consider = [&](Server *Tried) {
+    if (Tried != nullptr && Tried->Entry.Service == CurrentPart.Pool->Service &&
+        !Tried->Entry.Leaving && !Tried->Misdirected &&
         acceptsAt(Now, *Tried, this->Instances) <= Now) {
       Last = Tried;
     }
+  };
+  for (const base::ServerId &Id : CurrentPart.TriedElsewhere) {
+    Consider(this->Servers.find(Id));
+  }
+  for (const Attempt &Entry : CurrentPart.Attempts) {
+    if (Entry.MayHaveArrived) {
+      Consider(this->Servers.find(Entry.Server));
+    }
   }
   return Last;
 }
@@ -164,7 +199,7 @@
 void Engine::waitForServer(TimePoint Now, Call &CurrentCall,
                            Part &CurrentPart) {
   bool MayBecomeAvailable =
-      CurrentPart.DistinctServers < CurrentCall.MatchedRoute->MaxAttempts &&
+      distinctServers(CurrentPart) < CurrentCall.MatchedRoute->MaxAttempts &&
       hasUsableReplica(*CurrentPart.Pool);
   auto Limited = rateLimitedUntil(Now, *CurrentPart.Pool, this->Instances);
   CurrentPart.RateLimited = Limited.has_value();
@@ -221,13 +256,9 @@
 void Engine::send(TimePoint Now, Call &CurrentCall, uint32_t Index,
                   Server &Backend, Actions &Out) {
   Part &CurrentPart = CurrentCall.Parts[Index];
-  bool FirstToServer = std::none_of(
-      CurrentPart.Attempts.begin(), CurrentPart.Attempts.end(),
-      [&](const Attempt &Entry) { return Entry.Server == Backend.Key; });
   AttemptRef Ref{CurrentCall.Id.Value, Index,
                  static_cast<uint32_t>(CurrentPart.Attempts.size())};
-  CurrentPart.Attempts.push_back({Backend.Key, Now, true, FirstToServer});
-  CurrentPart.DistinctServers += FirstToServer ? 1 : 0;
+  CurrentPart.Attempts.push_back({Backend.Key, Backend.Entry.Id, Now});
   ++CurrentPart.PossiblyDelivered;
   ++CurrentPart.PossiblyRun;
   CurrentPart.Phase = PartPhase::InFlight;
@@ -253,7 +284,7 @@
     return;
   }
   if (!CurrentCall.MatchedRoute->Idempotent || CurrentPart.Hedged ||
-      CurrentPart.DistinctServers >= CurrentCall.MatchedRoute->MaxAttempts ||
+      distinctServers(CurrentPart) >= CurrentCall.MatchedRoute->MaxAttempts ||
       looksLikeCrash(CurrentCall) ||
       this->Crashes.isQuarantined(Now, CurrentCall.Content)) {
     CurrentPart.WakeAt = TimePoint::max();
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -265,7 +265,10 @@
   };
 
   // Admission (engine_admission.cpp).
-  const std::string &chooseService(const Route &MatchedRoute);
+  /** @return The service of a route for a request. A service that another
+   * instance has tried already is kept. */
+  const std::string &chooseService(const Route &MatchedRoute,
+                                   const std::vector<TriedServer> &Tried);
   void refuse(CallId Id, const Refusal &Refused, Actions &Out,
               CallSummary Summary = {});
   bool admit(base::TimePoint Now, Call &CurrentCall, Actions &Out);
@@ -281,6 +284,9 @@
                  const Part &CurrentPart, ServerChoice Choice);
   Server *chooseForAttempt(base::TimePoint Now, const Call &CurrentCall,
                            const Part &CurrentPart);
+  /** @return A server that may already have the part and may get it again, or
+   * nullptr. */
+  Server *chooseTried(base::TimePoint Now, const Part &CurrentPart);
   void waitForServer(base::TimePoint Now, Call &CurrentCall, Part &CurrentPart);
   static bool isWaitTooLong(base::TimePoint Until, const Call &CurrentCall);
   void startAttempt(base::TimePoint Now, Call &CurrentCall, uint32_t Index,
@@ -313,6 +319,14 @@
   /** Takes the repetitions that a relay causes from the budgets.
    * @return Whether the budgets allow them. */
   bool payForRelay(base::TimePoint Now, Call &CurrentCall);
+  /** Counts the attempts of the instance that has relayed the call here. */
+  static void addTriedServers(Call &CurrentCall,
+                              const std::vector<TriedServer> &Tried);
+  /** Takes a relayed call that was sent to no server out of the budgets: the
+   * next instance that gets it counts it. */
+  static void uncountUnsentRelay(base::TimePoint Now, Call &CurrentCall);
+  /** @return The servers that may have received the call's parts. */
+  static std::vector<TriedServer> triedServers(const Call &CurrentCall);
   bool tryRelay(base::TimePoint Now, Call &CurrentCall, Actions &Out);
   Call *endRelay(base::TimePoint Now, const AttemptRef &Ref, ServerKey Peer,
                  bool Failed);
--- a/src/forward/engine_progress.cpp
+++ b/src/forward/engine_progress.cpp
@@ -72,6 +72,7 @@
     this->scheduleWake(Now, CurrentCall);
     return true;
   }
+  uncountUnsentRelay(Now, CurrentCall);
   this->finishCall(CurrentCall, TimedOut, Out);
   return true;
 }
--- a/src/forward/engine_relay.cpp
+++ b/src/forward/engine_relay.cpp
@@ -85,6 +85,43 @@
   return true;
 }
 
+void Engine::addTriedServers(Call &CurrentCall,
+                             const std::vector<TriedServer> &Tried) {
+  // Without a fan-out the limit holds for all services of the route together.
+  bool AnyService = !CurrentCall.MatchedRoute->fansOut();
+  for (const TriedServer &Entry : Tried) {
+    for (Part &Needed : CurrentCall.Parts) {
+      if (AnyService || Needed.Pool->Service == Entry.Service) {
+        Needed.TriedElsewhere.push_back(Entry.Server);
+      }
+    }
+  }
+}
+
+void Engine::uncountUnsentRelay(TimePoint Now, Call &CurrentCall) {
+  bool Unsent = std::all_of(
+      CurrentCall.Parts.begin(), CurrentCall.Parts.end(),
+      [](const Part &Entry) { return Entry.PossiblyDelivered == 0; });
+  if (!CurrentCall.Relayed || !Unsent) {
+    return;
+  }
+  for (Part &Entry : CurrentCall.Parts) {
+    Entry.Pool->Budget.cancelRequest(Now);
+  }
+}
+
+std::vector<TriedServer> Engine::triedServers(const Call &CurrentCall) {
+  std::vector<TriedServer> Tried;
+  for (const Part &Entry : CurrentCall.Parts) {
+    for (const Attempt &Sent : Entry.Attempts) {
+      if (Sent.MayHaveArrived) {
+        Tried.push_back({Entry.Pool->Service, Sent.ServerId});
+      }
+    }
+  }
+  return Tried;
+}
+
 bool Engine::tryRelay(TimePoint Now, Call &CurrentCall, Actions &Out) {
   bool MayRepeat =
       CurrentCall.MatchedRoute->Idempotent || !mayHaveRun(CurrentCall);
@@ -114,9 +151,9 @@
   CurrentCall.CurrentRelay = Relay{Chosen->Key, Ref};
   ++Chosen->Outstanding;
   ++this->Counters.Relays;
-  Out.push_back(RelayRequest{Ref, Chosen->Key, Chosen->Entry.Address,
-                             CurrentCall.Deadline - Now,
-                             CurrentCall.MatchedRoute->Idempotent});
+  Out.push_back(RelayRequest{
+      Ref, Chosen->Key, Chosen->Entry.Address, CurrentCall.Deadline - Now,
+      CurrentCall.MatchedRoute->Idempotent, triedServers(CurrentCall)});
   return true;
 }
 
@@ -164,6 +201,11 @@
     this->failRelayed(*CurrentCall, Reason, Out);
     return;
   }
+  if (!Received.Unsent) {
+    // Another peer would not know at which servers this one has tried it.
+    this->failRelayed(*CurrentCall, RefusalReason::Overloaded, Out);
+    return;
+  }
   this->relayAgainOrFail(Now, *CurrentCall, RefusalReason::Overloaded, Out);
 }
 
@@ -174,8 +216,12 @@
     return;
   }
   ++this->Counters.RelaysFailed;
-  CurrentCall->PeerMayHaveSent =
-      CurrentCall->PeerMayHaveSent || Kind == AttemptFailure::Broken;
+  if (Kind == AttemptFailure::Broken) {
+    // The peer may have used up the attempts of each part.
+    CurrentCall->PeerMayHaveSent = true;
+    this->failRelayed(*CurrentCall, RefusalReason::BackendFailed, Out);
+    return;
+  }
   this->relayAgainOrFail(Now, *CurrentCall, RefusalReason::NoServer, Out);
 }
 
--- a/src/forward/engine_replies.cpp
+++ b/src/forward/engine_replies.cpp
@@ -95,9 +95,7 @@
   Part &CurrentPart = CurrentCall.Parts[Ref.Part];
   if (Received.NotExecuted || Received.Misdirected) {
     --CurrentPart.PossiblyRun;
-    const Attempt &Ended = CurrentPart.Attempts[Ref.Attempt];
-    CurrentPart.DistinctServers -=
-        Received.Misdirected && Ended.FirstAtServer ? 1 : 0;
+    CurrentPart.Attempts[Ref.Attempt].MayHaveArrived = !Received.Misdirected;
     this->retryOrFail(Now, CurrentCall, Ref.Part, Out);
     return;
   }
@@ -146,8 +144,7 @@
   if (Unsent) {
     --CurrentPart.PossiblyRun;
     --CurrentPart.PossiblyDelivered;
-    CurrentPart.DistinctServers -=
-        CurrentPart.Attempts[Ref.Attempt].FirstAtServer ? 1 : 0;
+    CurrentPart.Attempts[Ref.Attempt].MayHaveArrived = false;
   } else {
     ++CurrentPart.Broken;
   }
--- a/src/forward/server_set.cpp
+++ b/src/forward/server_set.cpp
@@ -75,7 +75,16 @@
 }
 
 ServicePool &ServerSet::pool(const std::string &Service) {
-  return this->Pools[Service];
+  ServicePool &Found = this->Pools[Service];
+  if (Found.Service.empty()) {
+    Found.Service = Service;
+  }
+  return Found;
+}
+
+Server *ServerSet::find(const base::ServerId &Id) {
+  auto Found = this->ById.find(Id.Value);
+  return Found == this->ById.end() ? nullptr : Found->second;
 }
 
 Server *ServerSet::find(ServerKey Key) {
--- a/src/forward/server_set_base.h
+++ b/src/forward/server_set_base.h
@@ -14,6 +14,7 @@
 
 /** The backend servers of one service. */
 struct ServicePool {
+  std::string Service;           ///< Name of the service.
   std::vector<Server *> Servers; ///< Currently listed servers.
   uint32_t MaxConnections = 8; ///< To each server, from all instances together.
   limits::SharedBudget Budget;
@@ -50,6 +51,13 @@
    */
   Server *find(ServerKey Key);
 
+  /**
+   * Finds a server by its id.
+   * @param Id Its id.
+   * @return The listed incarnation, or nullptr.
+   */
+  Server *find(const base::ServerId &Id);
+
   /** @return All listed servers, by id. */
   const std::map<std::string, Server *> &all() const { return this->ById; }
 
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "config/settings_func.h"
 #include "net/forward_header_func.h"
+#include "net/relay_header_func.h"
 #include "net/socket_func.h"
 #include "net/upstream_pool_base.h"
 
@@ -107,6 +108,9 @@
   this->CarriedIds.push_back(this->Current->Source->IdHash);
   const forward::SendAttempt &Order = this->Current->Order;
   this->Outgoing = this->Current->Source->Message;
+  if (!this->Current->RelayTried.empty()) {
+    this->Outgoing.set(RelayTriedField, this->Current->RelayTried);
+  }
   auto Left =
       std::chrono::duration_cast<std::chrono::milliseconds>(Order.Remaining);
   this->Outgoing.set(this->Owner.Names.Remaining,
@@ -249,6 +253,7 @@
   Taken.Body = std::move(Message.body());
   return Taken;
 }
+  Taken.Unsent = Message.find(RelayUnsentField) != Message.end();
 
 bool UpstreamConnection::hasCarried(uint64_t IdHash) const {
   return std::find(this->CarriedIds.begin(), this->CarriedIds.end(), IdHash) !=
--- a/src/net/upstream_type.h
+++ b/src/net/upstream_type.h
@@ -38,6 +38,7 @@
   forward::SendAttempt Order;
   std::shared_ptr<const UpstreamRequest> Source;
   uint32_t MaxConnections = 1; ///< To the server, from this instance.
+  std::string RelayTried;      ///< Value of RelayTriedField; empty if absent.
 };
 
 /** What the connections tell their owner. */
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -81,9 +81,11 @@
                               std::move(Received), Harness.Out);
 }
 
+/** @return A peer's own answer; it has sent the request to no server. */
 forward::Reply peerRefusal(uint32_t Status) {
   forward::Reply Result;
   Result.Status = Status;
+  Result.Unsent = Status == 503;
   return Result;
 }
 
