Bound the unfinished replies of all connections together

Cause: the exemption kept sound replies from being given up, since the limit hit the connection that received the next byte.

Change: the sum over all connections is kept, and above 32 MiB the largest unfinished replies are given up first. What is not body is limited to 128 KiB in place of 1 MiB. Parts of a fan-out keep only the records that the merged answer can use, if they are much longer than that.

--- a/src/forward/engine_replies.cpp
+++ b/src/forward/engine_replies.cpp
@@ -1,4 +1,5 @@
 #include "forward/engine_base.h"
+#include "forward/merge_func.h"
 #include "forward/replica_func.h"
 
 #include <utility>
@@ -14,6 +15,17 @@
          !Received.Signature.empty();
 }
 
+/** Drops what the merged answer will not need; the other parts of the call may
+ * take long. */
+void keepGreatest(Reply &Received, size_t Limit) {
+  Received.Fields = {};
+  std::string_view Body = Received.Body;
+  // A body of about the usual size is not worth the sorting.
+  if (Body.size() > 2 * Limit * RecordBytes) {
+    Received.Body = mergeGreatest({&Body, 1}, Limit);
+  }
+}
+
 /** @return Whether the error is the server's, so that another server may
  * succeed. */
 bool isServerFault(const Reply &Received) {
@@ -59,6 +71,9 @@
   }
   this->Latencies[CurrentCall->MatchedRoute->Name].record(Now - Ended.SentAt);
   CurrentPart.Phase = PartPhase::Answered;
+  if (CurrentCall->MatchedRoute->fansOut()) {
+    keepGreatest(Received, CurrentCall->MatchedRoute->TopK);
+  }
   CurrentPart.Result = std::move(Received);
   ++CurrentCall->Answered;
   this->abandonLiveAttempts(*CurrentCall, Ref.Part, Out);
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -37,15 +37,10 @@
 /** Maximum size of what is not body: heads, chunk headers, trailers, interim
  * replies and replies to other attempts. They cost far more time for each byte
  * than a body does. */
-constexpr uint64_t MaxFramingBytes = 1'048'576;
-/** Maximum size of the unfinished replies on all connections together; the
- * smallest instances have 380 MB of memory. */
-constexpr uint64_t MaxTotalReplyBytes = 67'108'864;
+constexpr uint64_t MaxFramingBytes = 131'072;
 /** Number of requests after which a connection is closed. It bounds the memory
  * for their attempt ids. */
 constexpr size_t MaxCarriedIds = 512;
-/** Replies up to this size are received even beyond MaxTotalReplyBytes. */
-constexpr uint64_t SmallReplyBytes = 262'144;
 
 } // namespace
 
@@ -104,18 +99,18 @@
   this->Phase = UpstreamPhase::Busy;
   this->PhaseSince = Clock::now();
   this->Abandoned = false;
-  this->ReceivedBytes = 0;
+  this->resetReceived();
   this->CarriedIds.push_back(this->Current->Source->IdHash);
   const forward::SendAttempt &Order = this->Current->Order;
   this->Outgoing = this->Current->Source->Message;
-  if (!this->Current->RelayTried.empty()) {
-    this->Outgoing.set(RelayTriedField, this->Current->RelayTried);
-  }
   auto Left =
       std::chrono::duration_cast<std::chrono::milliseconds>(Order.Remaining);
   this->Outgoing.set(this->Owner.Names.Remaining,
                      std::to_string(std::max<int64_t>(1, Left.count())));
   this->Outgoing.set(this->Owner.Names.ExpectedServer, Order.ServerId.Value);
+  if (!this->Current->RelayTried.empty()) {
+    this->Outgoing.set(RelayTriedField, this->Current->RelayTried);
+  }
   this->WritePending = true;
   http::async_write(
       this->Socket, this->Outgoing,
@@ -154,9 +149,13 @@
     return;
   }
   this->ReceivedBytes += Count;
+  this->Owner.UnfinishedBytes += Count;
   if (this->isReplyTooLarge()) {
-    ++this->Owner.Counters.OversizedReplies;
-    this->fail(forward::AttemptFailure::Broken);
+    this->failOversized();
+    return;
+  }
+  this->Owner.limitUnfinishedBytes();
+  if (this->Phase == UpstreamPhase::Closed) {
     return;
   }
   auto Room = this->Buffer.prepare(Count);
@@ -171,9 +170,16 @@
 bool UpstreamConnection::isReplyTooLarge() const {
   uint64_t BodyBytes = this->Incoming ? this->Incoming->get().body().size() : 0;
   return this->ReceivedBytes > MaxReplyBytes ||
-         this->ReceivedBytes > BodyBytes + MaxFramingBytes ||
-         (this->ReceivedBytes > SmallReplyBytes &&
-          this->Owner.receivedBytes() > MaxTotalReplyBytes);
+         this->ReceivedBytes > BodyBytes + MaxFramingBytes;
+}
+
+void UpstreamConnection::failOversized() {
+  ++this->Owner.Counters.OversizedReplies;
+  this->fail(forward::AttemptFailure::Broken);
+}
+
+void UpstreamConnection::resetReceived() {
+  this->Owner.UnfinishedBytes -= std::exchange(this->ReceivedBytes, 0);
 }
 
 void UpstreamConnection::parse(bool End) {
@@ -247,13 +253,13 @@
   Taken.NotExecuted = Message.find(Names.NotExecuted) != Message.end();
   Taken.Misdirected = Message.result() == http::status::misdirected_request;
   Taken.Merged = Message.find(Names.PartSignatures) != Message.end();
+  Taken.Unsent = Message.find(RelayUnsentField) != Message.end();
   Taken.Load = parseLoad(Message[Names.ServerLoad]);
   Taken.RateLimit = parseRateLimit(Message[Names.RateLimit]);
   Taken.Fields = endToEndFields(Message);
   Taken.Body = std::move(Message.body());
   return Taken;
 }
-  Taken.Unsent = Message.find(RelayUnsentField) != Message.end();
 
 bool UpstreamConnection::hasCarried(uint64_t IdHash) const {
   return std::find(this->CarriedIds.begin(), this->CarriedIds.end(), IdHash) !=
@@ -296,7 +302,7 @@
 void UpstreamConnection::becomeIdle() {
   this->Phase = UpstreamPhase::Idle;
   this->PhaseSince = Clock::now();
-  this->ReceivedBytes = 0;
+  this->resetReceived();
   this->Abandoned = false;
   if (this->Retired) {
     this->close();
@@ -321,6 +327,7 @@
     return;
   }
   this->Phase = UpstreamPhase::Closed;
+  this->resetReceived();
   beast::error_code Ignored; // The server may have closed it already.
   this->Socket.close(Ignored);
   this->Owner.closed(*this);
--- a/src/net/upstream_connection_base.h
+++ b/src/net/upstream_connection_base.h
@@ -55,6 +55,9 @@
   /** Closes at once; a pending attempt fails. */
   void close();
 
+  /** Fails the attempt because its unfinished reply takes too much memory. */
+  void failOversized();
+
   /**
    * Closes what has waited for too long.
    * @param Now Current time.
@@ -95,6 +98,7 @@
   void read();
   void onRead(boost::beast::error_code Failure, size_t Count);
   bool isReplyTooLarge() const;
+  void resetReceived();
   void parse(bool End);
   void finish(bool Reusable);
   bool isForeign(const Parser &Received) const;
@@ -112,7 +116,7 @@
   bool Probe = false; ///< The owner is told whether it opens.
   bool Abandoned = false;
   bool WritePending = false;
-  uint64_t ReceivedBytes = 0; ///< Since the request was written.
+  uint64_t ReceivedBytes = 0; ///< Of the reply; part of UnfinishedBytes.
   bool SawForeign = false;    ///< A reply to another attempt was dropped.
   /** UpstreamRequest::IdHash of each request that was sent on it. */
   std::vector<uint64_t> CarriedIds;
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -161,14 +161,21 @@
   return Count;
 }
 
-uint64_t UpstreamPool::receivedBytes() const {
-  uint64_t Sum = 0;
-  for (const auto &[Key, Connections] : this->Open) {
-    for (const Connection &Entry : Connections) {
-      Sum += Entry->receivedBytes();
+void UpstreamPool::limitUnfinishedBytes() {
+  while (this->UnfinishedBytes > MaxUnfinishedBytes) {
+    Connection Largest;
+    for (const auto &[Key, Connections] : this->Open) {
+      for (const Connection &Entry : Connections) {
+        if (!Largest || Entry->receivedBytes() > Largest->receivedBytes()) {
+          Largest = Entry;
+        }
+      }
+    }
+    if (!Largest) {
+      return;
     }
+    Largest->failOversized();
   }
-  return Sum;
 }
 
 void UpstreamPool::closed(const UpstreamConnection &Ended) {
--- a/src/net/upstream_pool_base.h
+++ b/src/net/upstream_pool_base.h
@@ -13,6 +13,9 @@
 /** The connections of an instance to all backend servers, on one thread. */
 class UpstreamPool {
 public:
+  /** Maximum size of the unfinished replies on all connections together; the
+   * smallest instances have 380 MB of memory. */
+  static constexpr uint64_t MaxUnfinishedBytes = 33'554'432;
   /** Period at which the owner calls sweep(). */
   static constexpr std::chrono::milliseconds SweepPeriod{25};
 
@@ -61,7 +64,7 @@
   /** @return Open or opening connections. */
   size_t connections() const;
   /** @return Bytes of the unfinished replies on all connections. */
-  uint64_t receivedBytes() const;
+  uint64_t unfinishedBytes() const { return this->UnfinishedBytes; }
   /** @return What was counted so far. */
   const UpstreamCounters &counters() const { return this->Counters; }
 
@@ -75,12 +78,16 @@
    * request may arrive, or nullptr. */
   Connection takeIdle(const UpstreamAttempt &Next);
   void closed(const UpstreamConnection &Ended);
+  /** Fails the attempts with the largest unfinished replies until all together
+   * are within MaxUnfinishedBytes. Others are not affected. */
+  void limitUnfinishedBytes();
 
   boost::asio::io_context &Context;
   ForwardHeaders Names;
   UpstreamCallbacks Handlers;
   std::unordered_map<forward::ServerKey, std::vector<Connection>> Open;
   UpstreamCounters Counters;
+  uint64_t UnfinishedBytes = 0; ///< Sum over all connections.
 };
 
 } // namespace hickorycrank::net
