Avoid peers that could not send a route's requests, and ask others

Cause: a cut instance refuses relays at once, so it never has any in progress and is preferred; after two such peers a call was given up, and nothing was learned. Ruled out: the fourth instance was listed, alive and had room.

Change: a peer that states that it has sent a relayed request to no server is avoided for its route for 1 s, and up to six peers are asked. The retry budget is charged once a call, since only the last peer can have sent it. If all have refused, requests are refused at once.

Tests: "a relay reaches the one peer that can send it" serves 100 of 100 with at most 109 relays; without the change it fails, as two peers that refuse end each call.

--- a/src/forward/engine_relay.cpp
+++ b/src/forward/engine_relay.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-/** Maximum number of peers to which a call is relayed. */
-constexpr size_t MaxRelays = 2;
+/** Maximum number of peers to which a call is relayed. All but the last have
+ * sent it to no server. */
+constexpr size_t MaxRelays = 6;
 /** Minimum time that must be left for a relay to be useful: two round trips
  * between failure domains and one to a server. */
 constexpr Duration MinRelayTime = std::chrono::milliseconds(20);
@@ -73,11 +74,14 @@
 }
 
 bool Engine::payForRelay(TimePoint Now, Call &CurrentCall) {
+  if (!CurrentCall.RelayedTo.empty()) {
+    return true; // The peers before have sent nothing.
+  }
   for (Part &Entry : CurrentCall.Parts) {
-    bool Repeats = Entry.PossiblyDelivered > 0 || CurrentCall.PeerMayHaveSent;
-    if (Repeats && !Entry.Pool->Budget.tryTake(limits::ExtraAttemptKind::Retry,
-                                               this->Options.Extra,
-                                               this->Instances, Now)) {
+    if (Entry.PossiblyDelivered > 0 &&
+        !Entry.Pool->Budget.tryTake(limits::ExtraAttemptKind::Retry,
+                                    this->Options.Extra, this->Instances,
+                                    Now)) {
       ++this->Counters.RetriesDenied;
       return false;
     }
@@ -132,7 +136,7 @@
     return false;
   }
   Peer *Chosen = this->Peers.choose(
-      Now, this->Options.Domain,
+      Now, CurrentCall.MatchedRoute->Name, this->Options.Domain,
       {CurrentCall.RelayedTo.data(), CurrentCall.RelayedTo.size()},
       this->Generator);
   if (Chosen == nullptr || !this->payForRelay(Now, CurrentCall)) {
@@ -206,6 +210,7 @@
     this->failRelayed(*CurrentCall, RefusalReason::Overloaded, Out);
     return;
   }
+  this->Peers.recordUnsent(Now, Peer, CurrentCall->MatchedRoute->Name);
   this->relayAgainOrFail(Now, *CurrentCall, RefusalReason::Overloaded, Out);
 }
 
--- a/src/forward/peer_set.cpp
+++ b/src/forward/peer_set.cpp
@@ -9,6 +9,9 @@
 /** Time for which a peer is avoided after a failed relay; a peer that has ended
  * is no longer listed after that. */
 constexpr base::Duration AvoidTime = std::chrono::seconds(1);
+/** Time for which a peer that could not send a request is avoided for its
+ * route. A peer that reaches the servers again is noticed that much later. */
+constexpr base::Duration RouteAvoidTime = std::chrono::seconds(1);
 /** A peer of another failure domain is chosen if it has fewer relays by more
  * than this number. */
 constexpr uint32_t OwnDomainAdvantage = 2;
@@ -32,15 +35,19 @@
   });
 }
 
-Peer *PeerSet::choose(base::TimePoint Now, const base::FailureDomainId &Domain,
+Peer *PeerSet::choose(base::TimePoint Now, const std::string &Route,
+                      const base::FailureDomainId &Domain,
                       std::span<const ServerKey> Avoid,
                       base::Random &Generator) {
   Peer *Best = nullptr;
   uint32_t BestCost = 0;
   uint64_t Ties = 0;
   for (auto &[Address, Candidate] : this->ByAddress) {
+    auto Avoided = Candidate.RouteAvoidUntil.find(Route);
+    bool Refuses =
+        Avoided != Candidate.RouteAvoidUntil.end() && Now < Avoided->second;
     bool Usable =
-        Candidate.Listed && Now >= Candidate.AvoidUntil &&
+        Candidate.Listed && Now >= Candidate.AvoidUntil && !Refuses &&
         Candidate.Outstanding < MaxOutstanding &&
         std::find(Avoid.begin(), Avoid.end(), Candidate.Key) == Avoid.end();
     if (!Usable) {
@@ -60,6 +67,17 @@
   return Best;
 }
 
+void PeerSet::recordUnsent(base::TimePoint Now, ServerKey Key,
+                           const std::string &Route) {
+  Peer *Known = this->find(Key);
+  if (Known == nullptr) {
+    return;
+  }
+  std::erase_if(Known->RouteAvoidUntil,
+                [Now](const auto &Entry) { return Entry.second <= Now; });
+  Known->RouteAvoidUntil[Route] = Now + RouteAvoidTime;
+}
+
 Peer *PeerSet::find(ServerKey Key) {
   auto Found =
       std::find_if(this->ByAddress.begin(), this->ByAddress.end(),
--- a/src/forward/peer_set_base.h
+++ b/src/forward/peer_set_base.h
@@ -25,6 +25,9 @@
   bool Listed = true;         ///< Whether it accepts relays.
   uint32_t Outstanding = 0;   ///< Relays that have not ended.
   base::TimePoint AvoidUntil; ///< After a failed relay.
+  /** Time until which it is avoided for a route, by the route's name: it has
+   * refused a relay because it could send it to no server. */
+  std::map<std::string, base::TimePoint> RouteAvoidUntil;
 };
 
 /** The instances to which this one relays requests. */
@@ -43,12 +46,14 @@
    * Chooses the peer with the fewest relays of this instance; the own failure
    * domain is slightly preferred.
    * @param Now Current time.
+   * @param Route Name of the route of the request.
    * @param Domain Failure domain of this instance.
    * @param Avoid Peers that already had the request.
    * @param Generator Source of random tie-breaking.
    * @return A peer, or nullptr if none may be used now.
    */
-  Peer *choose(base::TimePoint Now, const base::FailureDomainId &Domain,
+  Peer *choose(base::TimePoint Now, const std::string &Route,
+               const base::FailureDomainId &Domain,
                std::span<const ServerKey> Avoid, base::Random &Generator);
 
   /** @param Key A key. @return The peer, or nullptr. */
@@ -62,6 +67,15 @@
    */
   void recordEnd(base::TimePoint Now, ServerKey Key, bool Failed);
 
+  /**
+   * Records that a peer could send a relayed request to no server.
+   * @param Now Current time.
+   * @param Key The peer.
+   * @param Route Name of the request's route.
+   */
+  void recordUnsent(base::TimePoint Now, ServerKey Key,
+                    const std::string &Route);
+
 private:
   std::map<std::string, Peer> ByAddress;
   uint64_t NextKey = 1;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -209,6 +209,11 @@
   REQUIRE(Responses.size() == 1);
   CHECK_FALSE(ForwardHarness::refusal(Responses[0])->MayHaveRun);
   CHECK(ForwardHarness::refusal(Responses[0])->RetryAfter);
+  // Both have refused the route just now.
+  Harness.sendRequest("wide.example", "/wide/x", 1s);
+  CHECK(Harness.takeActions<RelayRequest>().empty());
+  Harness.takeActions<RespondCall>();
+  Harness.advanceTime(1s);
   Harness.sendRequest("wide.example", "/wide/x", 1s);
   auto Failing = Harness.takeActions<RelayRequest>();
   REQUIRE(Failing.size() == 1);
@@ -218,6 +223,40 @@
   CHECK(ForwardHarness::refusal(Responses[0])->MayHaveRun);
 }
 
+// Guards against refusing callers because the peers that are preferred have
+// lost their servers too and refuse at once, although another peer reaches
+// them.
+TEST_CASE("a relay reaches the one peer that can send it", "[forward]") {
+  ForwardHarness Harness = ForwardHarness::tenShards();
+  cutLinks(Harness, {{"10.0.0.2:7", base::FailureDomainId("a")},
+                     {"10.0.0.3:7", base::FailureDomainId("a")},
+                     {"10.0.0.4:7", base::FailureDomainId("a")},
+                     {"10.1.0.1:7", base::FailureDomainId("b")}});
+  Harness.takeActions<RelayRequest>();
+  Harness.takeActions<RespondCall>();
+  size_t Served = 0;
+  size_t Relays = 0;
+  for (int Request = 0; Request < 100; ++Request) {
+    Harness.sendRequest("wide.example", "/wide/x", 1s);
+    std::vector<RelayRequest> Sent = Harness.takeActions<RelayRequest>();
+    for (; !Sent.empty(); Sent = Harness.takeActions<RelayRequest>()) {
+      ++Relays;
+      bool Reaches = Sent[0].Address == "10.1.0.1:7";
+      forward::Reply Answer = peerRefusal(Reaches ? 200 : 503);
+      Answer.Merged = Reaches;
+      replyToRelay(Harness, Sent[0], Answer);
+    }
+    for (const auto &Response : Harness.takeActions<RespondCall>()) {
+      Served += ForwardHarness::refusal(Response) == nullptr ? 1 : 0;
+    }
+    Harness.advanceTime(20ms);
+    Harness.takeActions<SendAttempt>();
+  }
+  CHECK(Served == 100);
+  // The others are asked again each second.
+  CHECK(Relays <= 100 + 3 * 3);
+}
+
 // Guards against relaying on although the servers can be reached again, and
 // against relaying because some servers of an idle instance have failed.
 TEST_CASE("requests are relayed only while the links are lost", "[forward]") {
@@ -413,7 +452,7 @@
   std::map<std::string, uint32_t> Count;
   for (int I = 0; I < 30; ++I) {
     forward::Peer *Chosen =
-        Known.choose(Now, base::FailureDomainId("x"), {}, Generator);
+        Known.choose(Now, "r", base::FailureDomainId("x"), {}, Generator);
     REQUIRE(Chosen != nullptr);
     ++Chosen->Outstanding;
     ++Count[Chosen->Entry.Address];
@@ -421,12 +460,14 @@
   CHECK(Count["c"] >= 8);
   CHECK(Count["a"] <= 12);
   CHECK(Count["b"] <= 12);
-  auto *Failing = Known.choose(Now, base::FailureDomainId("x"), {}, Generator);
+  auto *Failing =
+      Known.choose(Now, "r", base::FailureDomainId("x"), {}, Generator);
   forward::ServerKey Failed = Failing->Key;
   Known.recordEnd(Now, Failed, /*Failed=*/true);
-  CHECK(Known.choose(Now, base::FailureDomainId("x"), {}, Generator)->Key !=
-        Failed);
+  CHECK(
+      Known.choose(Now, "r", base::FailureDomainId("x"), {}, Generator)->Key !=
+      Failed);
   Known.apply({});
-  CHECK(Known.choose(Now + 5s, base::FailureDomainId("x"), {}, Generator) ==
-        nullptr);
+  CHECK(Known.choose(Now + 5s, "r", base::FailureDomainId("x"), {},
+                     Generator) == nullptr);
 }
