Drop a caller's field about tried servers; mend two lint findings

A caller could name servers that its relayed request must not use, since the field was read from any request that an instance relays. It is dropped from all requests.

--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -248,8 +248,9 @@
   if (CallDetails.Relayed) {
     auto Tried = Request[net::RelayTriedField];
     CallDetails.Tried = net::decodeTriedServers({Tried.data(), Tried.size()});
-    Request.erase(net::RelayTriedField);
   }
+  // A peer must not take a caller's field for this instance's.
+  Request.erase(net::RelayTriedField);
   auto Source = std::make_shared<const net::UpstreamRequest>(
       toUpstream(std::move(Request), this->Dialect.Headers));
   NewCall.Source = Source;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -10,7 +10,6 @@
 using namespace hickorycrank;
 using namespace hickorycrank::tests;
 using namespace std::chrono_literals;
-using boost::asio::ip::tcp;
 
 // Guards against requests that are altered while forwarded, and answers that
 // are not the merge of the parts that they list.
@@ -38,6 +37,27 @@
   CHECK(std::stoi(fieldOf(Seen, "X-Hickorycrank-Timeout-Remaining")) <= 2000);
 }
 
+// Guards against a caller that passes for an instance and names servers that
+// its request must not use.
+TEST_CASE("a caller's field about tried servers is dropped", "[gateway]") {
+  std::mutex Mutex;
+  std::string Seen;
+  GatewayFixture Test(
+      [&](const std::string &Head) {
+        std::lock_guard Lock(Mutex);
+        Seen = Head;
+        return recordScript('a')(Head);
+      },
+      recordScript('b'));
+  std::string Request = nonIdempotentRequest("id1");
+  Request.insert(Request.size() - 2, "Relay-Tried-Servers: s0=i-0,i-9\r\n");
+  auto Open = Test.send(Request);
+  CHECK(GatewayFixture::receive(Open).starts_with("HTTP/1.1 200"));
+  std::lock_guard Lock(Mutex);
+  CHECK(fieldOf(Seen, "Relay-Tried-Servers").empty());
+  CHECK(fieldOf(Seen, AttemptField) == "id1");
+}
+
 // Guards against a duplicate reply on a reused connection being returned as the
 // answer to the next request.
 TEST_CASE("a reply to another attempt reaches no caller", "[gateway]") {
--- a/tests/relay_limits_test.cpp
+++ b/tests/relay_limits_test.cpp
@@ -45,13 +45,13 @@
     for (ForwardHarness &Member : this->Members) {
       Member.takeActions<SendAttempt>(); // Of the call before, which has ended.
     }
-    this->Entry().sendRequest(Host, Target, 1'500ms, ++this->Content);
+    this->entry().sendRequest(Host, Target, 1'500ms, ++this->Content);
     for (int Step = 0; Step < 400; ++Step) {
       for (size_t I = 0; I < this->Members.size(); ++I) {
         this->serve(I);
       }
       this->passRelays();
-      if (!this->Entry().takeActions<RespondCall>().empty()) {
+      if (!this->entry().takeActions<RespondCall>().empty()) {
         break;
       }
       for (ForwardHarness &Member : this->Members) {
@@ -69,7 +69,7 @@
   size_t relayed() const { return this->Relayed; }
 
 private:
-  ForwardHarness &Entry() { return this->Members[0]; }
+  ForwardHarness &entry() { return this->Members[0]; }
 
   /** Lets the servers answer or fail the attempts of one instance. */
   void serve(size_t Index) {
@@ -113,15 +113,15 @@
   }
 
   void passRelays() {
-    for (const RelayRequest &Sent : this->Entry().takeActions<RelayRequest>()) {
+    for (const RelayRequest &Sent : this->entry().takeActions<RelayRequest>()) {
       ++this->Relayed;
       size_t Index = Sent.Address == PeerAddresses[0] ? 1 : 2;
       if (this->Generator.below(8) == 0) {
-        this->Entry().Engine.onRelayFailure(
-            this->Entry().Now, Sent.Ref, Sent.Peer,
+        this->entry().Engine.onRelayFailure(
+            this->entry().Now, Sent.Ref, Sent.Peer,
             this->Generator.below(2) == 0 ? AttemptFailure::NotSent
                                           : AttemptFailure::Broken,
-            this->Entry().Out);
+            this->entry().Out);
         continue;
       }
       this->startRelay(Index, Sent);
@@ -133,7 +133,7 @@
       }
     }
     for (const auto &Ended :
-         this->Entry().takeActions<forward::CancelRelay>()) {
+         this->entry().takeActions<forward::CancelRelay>()) {
       this->cancelRelay(Ended.Ref);
     }
   }
@@ -179,9 +179,9 @@
       Answer.Status = 200;
       Answer.Merged = true;
     }
-    this->Entry().Engine.onRelayReply(this->Entry().Now, Found->second.Ref,
+    this->entry().Engine.onRelayReply(this->entry().Now, Found->second.Ref,
                                       Found->second.Peer, std::move(Answer),
-                                      this->Entry().Out);
+                                      this->entry().Out);
   }
 
   std::vector<ForwardHarness> Members;
