Wait for counts in place of fixed times in two new tests

The tests of unfinished replies ran for 3 s and 1 s, and that of an unanswered watch for 100 ms until the reader was healthy, which a sanitizer on a busy machine may exceed.

--- a/tests/reply_size_test.cpp
+++ b/tests/reply_size_test.cpp
@@ -42,11 +42,17 @@
     this->Pool.send(std::move(Next));
   }
 
-  /** Runs the connections. @return Most bytes of unfinished replies. */
-  uint64_t run(std::chrono::milliseconds Time) {
+  /** Runs the connections until a counter reaches a number, or for 30 s, and
+   * then a little longer. @return Most bytes of unfinished replies. */
+  uint64_t runUntil(const int &Counter, int Number) {
     uint64_t Most = 0;
-    base::TimePoint End = base::Clock::now() + Time;
+    base::TimePoint End = base::Clock::now() + 30s;
+    bool Reached = false;
     while (base::Clock::now() < End) {
+      if (!Reached && Counter >= Number) {
+        Reached = true;
+        End = base::Clock::now() + 200ms;
+      }
       this->Context.run_for(5ms);
       Most = std::max(Most, this->Pool.unfinishedBytes());
     }
@@ -94,14 +100,15 @@
     Test.send(I, Hanging.address());
   }
   constexpr uint64_t OneRead = 4'096;
-  CHECK(Test.run(3s) <= net::UpstreamPool::MaxUnfinishedBytes + OneRead);
+  CHECK(Test.runUntil(Test.Failures, 60) <=
+        net::UpstreamPool::MaxUnfinishedBytes + OneRead);
   // 50 MB were sent, and only the largest replies were given up.
   CHECK(Test.Failures >= 60);
   CHECK(Test.Failures < static_cast<int>(Faulty));
   for (uint64_t I = 1; I <= 20; ++I) {
     Test.send(1'000 + I, Sound.address());
   }
-  Test.run(1s);
+  Test.runUntil(Test.Replies, 20);
   CHECK(Test.Replies == 20);
 }
 
@@ -117,7 +124,7 @@
   for (uint64_t I = 1; I <= 10; ++I) {
     Test.send(I, Closing.address());
   }
-  Test.run(1s);
+  Test.runUntil(Test.Failures, 10);
   CHECK(Test.Failures == 10);
   CHECK(Test.Pool.unfinishedBytes() == 0);
 }
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -113,7 +113,7 @@
           [&](base::TimePoint Time) { VerifiedAt = Time; }});
   base::TimePoint StartedAt = daemon::suspendAwareNow();
   Reader->resume({});
-  for (int I = 0; I < 100 && !Reader->isHealthy(); ++I) {
+  for (int I = 0; I < 5'000 && !Reader->isHealthy(); ++I) {
     Context.run_for(1ms);
   }
   CHECK(Reader->isHealthy());
