Decode placement, cold start, priority and size fields

Cause: the adapter dropped fields of the configuration, the settings and replies that say where work may go, which servers are cold, which requests are urgent and how large an instance is. Nothing could act on them.

--- a/src/config/gateway_settings_type.h
+++ b/src/config/gateway_settings_type.h
@@ -6,10 +6,29 @@
 #include "limits/shared_budget_base.h"
 
 #include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
 #include <vector>
 
 namespace hickorycrank::config {
 
+/** Tolerance around the rate that a cold server accepts: in one second it may
+ * get Overshoot times that rate and Slack more, from all instances together. */
+struct ColdLimits {
+  double Overshoot = 1;
+  double Slack = 0; ///< In requests.
+};
+
+/** Resources of this instance; 0 stands for one that the settings do not name.
+ */
+struct InstanceSize {
+  double CpuCores = 0;          ///< Share of a core, may be a fraction.
+  uint64_t MemoryBytes = 0;     ///< The process is killed beyond it.
+  uint32_t FileDescriptors = 0; ///< Including those for files.
+  double LinkMegabits = 0;      ///< Per second.
+};
+
 /** What an instance that forwards requests by route reads at its start. */
 struct GatewaySettings {
   base::InstanceId Instance;
@@ -26,6 +45,10 @@
   /** Time after the store's acknowledgement within which a change must be in
    * force on all instances. */
   std::chrono::milliseconds ChangeBound{3'000};
+  /** Region of each failure domain; empty if the settings name none. */
+  std::map<base::FailureDomainId, std::string> Regions;
+  ColdLimits Cold;
+  InstanceSize Size;
 };
 
 } // namespace hickorycrank::config
--- a/src/discovery/item_type.h
+++ b/src/discovery/item_type.h
@@ -19,6 +19,7 @@
 enum class ItemKind {
   Server,        ///< One backend server; the name is its id.
   Configuration, ///< The current configuration; the name is empty.
+  Evacuation,    ///< An evacuated failure domain; the name is its id.
 };
 
 /** A key-value pair of the store. */
--- a/src/forward/call_type.h
+++ b/src/forward/call_type.h
@@ -58,6 +58,13 @@
   /** Requests per second that the server accepts from all instances together;
    * nothing if it states no limit. */
   std::optional<double> RateLimit;
+  /** Time for which the server remains cold; nothing if it does not state it.
+   */
+  std::optional<std::chrono::milliseconds> ColdRemaining;
+  bool ServerLeaving = false; ///< The server states that it is leaving.
+  /** Time for which a server that rejected the request accepts no others from
+   * this instance; nothing if it does not state it. */
+  std::optional<std::chrono::milliseconds> RetryAfter;
 };
 
 /** Why an attempt ended without a reply. */
--- a/src/forward/route_type.h
+++ b/src/forward/route_type.h
@@ -25,6 +25,10 @@
   /** Target latency of an answer. */
   std::chrono::milliseconds TargetLatency{1'000};
   uint32_t MaxAttempts = 1; ///< Maximum distinct servers per shard and request.
+  uint32_t Priority = 0;    ///< Rank under overload; 0 is the most urgent.
+  /** Regions whose servers and instances may receive the request; empty if all
+   * may. */
+  std::vector<std::string> AllowedRegions;
   std::vector<WeightedService> Choices; ///< One is selected per request.
   /** Names of the services that hold the shards; each request is sent to all
    * of them. Empty if a request is sent to one of Choices. */
@@ -39,6 +43,11 @@
 /** Published settings of a service. */
 struct ServiceSpec {
   uint32_t MaxConnections = 8; ///< To each server, from all instances together.
+  /** Time for which a server is cold after it has started. */
+  std::chrono::milliseconds ColdTime{0};
+  /** Requests per second that a cold server accepts from all instances
+   * together; 0 if the service states no limit. */
+  double ColdRate = 0;
 };
 
 /** Limits on the requests and connections of callers. */
--- a/src/forward/server_type.h
+++ b/src/forward/server_type.h
@@ -34,6 +34,9 @@
   uint32_t Running = 0;
   uint32_t Waiting = 0;
   uint32_t Slots = 0;
+  /** Current execution time on the server's machine, as a percentage of the
+   * usual one; nothing if the server does not state it. */
+  std::optional<uint32_t> WorkPercent = std::nullopt;
 };
 
 /** Identifies an attempt within an engine; never reused. */
--- a/src/net/fleet_codec_func.cpp
+++ b/src/net/fleet_codec_func.cpp
@@ -4,6 +4,7 @@
 
 #include <fleet_types.h>
 #include <memory>
+#include <optional>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
@@ -59,6 +60,18 @@
   return Decoded;
 }
 
+/** @return The kind with a number on the wire, or nothing if it is unknown. */
+std::optional<discovery::ItemKind> itemKindFromWire(int32_t Number) {
+  using discovery::ItemKind;
+  for (ItemKind Known :
+       {ItemKind::Server, ItemKind::Configuration, ItemKind::Evacuation}) {
+    if (Number == static_cast<int32_t>(Known)) {
+      return Known;
+    }
+  }
+  return std::nullopt;
+}
+
 /** Older releases send no epoch, which is decoded as 0. */
 discovery::StorePosition fromWire(int64_t Epoch, int64_t Revision) {
   return {static_cast<uint64_t>(Epoch), static_cast<uint64_t>(Revision)};
@@ -181,18 +194,14 @@
   Result.Since = fromWire(Wire.sinceEpoch, Wire.since);
   Result.Complete = Wire.complete;
   for (gen::ViewChange &Entry : Wire.changes) {
-    bool Server =
-        Entry.kind == static_cast<int32_t>(discovery::ItemKind::Server);
-    bool Configuration =
-        Entry.kind == static_cast<int32_t>(discovery::ItemKind::Configuration);
-    if (!Server && !Configuration) {
+    auto Kind = itemKindFromWire(Entry.kind);
+    if (!Kind) {
       continue; // A newer release may know more kinds.
     }
-    Result.Changes.push_back({{Server ? discovery::ItemKind::Server
-                                      : discovery::ItemKind::Configuration,
-                               std::move(Entry.name), std::move(Entry.value),
-                               fromWire(Entry.epoch, Entry.revision)},
-                              Entry.deleted});
+    Result.Changes.push_back(
+        {{*Kind, std::move(Entry.name), std::move(Entry.value),
+          fromWire(Entry.epoch, Entry.revision)},
+         Entry.deleted});
   }
   return Result;
 }
--- a/src/net/forward_header_func.cpp
+++ b/src/net/forward_header_func.cpp
@@ -1,5 +1,6 @@
 #include "net/forward_header_func.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -27,6 +28,22 @@
     http::field::content_length,
 };
 
+/** Longest time that a header field may state; longer ones are cut. */
+constexpr std::chrono::milliseconds MaxStatedTime = std::chrono::minutes(10);
+
+/** @return A decimal number of units of UnitMs milliseconds, or nothing unless
+ * it is a finite number of at least 0. */
+std::optional<std::chrono::milliseconds> parseTime(std::string_view Text,
+                                                   double UnitMs) {
+  std::optional<double> Units = parseRateLimit(Text);
+  if (!Units) {
+    return std::nullopt;
+  }
+  double Most = static_cast<double>(MaxStatedTime.count());
+  return std::chrono::milliseconds(
+      static_cast<int64_t>(std::ceil(std::min(*Units * UnitMs, Most))));
+}
+
 bool isHopByHop(const http::fields::value_type &Field,
                 http::token_list &Named) {
   for (http::field Known : HopByHop) {
@@ -81,23 +98,41 @@
 }
 
 std::optional<forward::LoadReport> parseLoad(std::string_view Text) {
-  std::array<uint32_t, 3> Values{};
+  constexpr size_t Required = 3; // The fourth is optional.
+  std::array<uint32_t, 4> Values{};
+  size_t Count = 0;
   const char *At = Text.data();
   const char *Stop = Text.data() + Text.size();
-  for (size_t I = 0; I < Values.size(); ++I) {
-    auto [End, Status] = std::from_chars(At, Stop, Values[I]);
+  while (Count < Values.size()) {
+    auto [End, Status] = std::from_chars(At, Stop, Values[Count]);
     if (Status != std::errc()) {
-      return std::nullopt;
+      break;
     }
-    At = End;
-    if (I + 1 < Values.size()) {
-      if (At == Stop || *At != ',') {
-        return std::nullopt;
-      }
-      ++At;
+    ++Count;
+    if (End == Stop || *End != ',') {
+      break;
     }
+    At = End + 1;
+  }
+  if (Count < Required) {
+    return std::nullopt;
+  }
+  forward::LoadReport Report{Values[0], Values[1], Values[2]};
+  if (Count > Required) {
+    Report.WorkPercent = Values[Required];
   }
-  return forward::LoadReport{Values[0], Values[1], Values[2]};
+  return Report;
+}
+
+std::optional<std::chrono::milliseconds>
+parseMilliseconds(std::string_view Text) {
+  return parseTime(Text, 1);
+}
+
+std::optional<std::chrono::milliseconds>
+parseRetryAfter(std::string_view Text) {
+  constexpr double MillisecondsPerSecond = 1'000;
+  return parseTime(Text, MillisecondsPerSecond);
 }
 
 std::optional<double> parseRateLimit(std::string_view Text) {
--- a/src/net/forward_header_func.h
+++ b/src/net/forward_header_func.h
@@ -37,7 +37,8 @@
 
 /**
  * Reads a load report.
- * @param Text Running, waiting and slots, separated by commas.
+ * @param Text Running, waiting and slots, separated by commas; optionally the
+ *   execution time as a percentage of the usual one.
  * @return The report, or nothing if it cannot be read.
  */
 std::optional<forward::LoadReport> parseLoad(std::string_view Text);
@@ -49,6 +50,23 @@
  */
 std::optional<double> parseRateLimit(std::string_view Text);
 
+/**
+ * Reads a time in milliseconds.
+ * @param Text A decimal number.
+ * @return The time, at most ten minutes, or nothing unless the number is finite
+ *   and at least 0.
+ */
+std::optional<std::chrono::milliseconds>
+parseMilliseconds(std::string_view Text);
+
+/**
+ * Reads a Retry-After field.
+ * @param Text Seconds, a decimal number.
+ * @return The time, at most ten minutes, or nothing unless the number is finite
+ *   and at least 0.
+ */
+std::optional<std::chrono::milliseconds> parseRetryAfter(std::string_view Text);
+
 } // namespace hickorycrank::net
 
 #endif
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -256,6 +256,9 @@
   Taken.Unsent = Message.find(RelayUnsentField) != Message.end();
   Taken.Load = parseLoad(Message[Names.ServerLoad]);
   Taken.RateLimit = parseRateLimit(Message[Names.RateLimit]);
+  Taken.ColdRemaining = parseMilliseconds(Message[Names.ColdRemaining]);
+  Taken.ServerLeaving = Message[Names.ServerLeaving] == "1";
+  Taken.RetryAfter = parseRetryAfter(Message[http::field::retry_after]);
   Taken.Fields = endToEndFields(Message);
   Taken.Body = std::move(Message.body());
   return Taken;
--- a/src/net/upstream_type.h
+++ b/src/net/upstream_type.h
@@ -20,6 +20,8 @@
   std::string ExpectedServer; ///< Only this server may run the request.
   std::string ServerLoad;     ///< Running, waiting and slots, by commas.
   std::string RateLimit;      ///< Requests per second that a server accepts.
+  std::string ColdRemaining;  ///< Milliseconds for which a server stays cold.
+  std::string ServerLeaving;  ///< The server is leaving.
   std::string NotExecuted;    ///< The server did not run the request.
   std::string PartSignatures; ///< Signatures of the parts of an answer.
   std::string MissingParts;   ///< Number of shards that are left out.
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -1,5 +1,7 @@
 // What the adapter in platform/ decodes, and that its names stay there.
 #include "platform/dialect_func.h"
+
+#include "net/forward_header_func.h"
 #include "platform_settings_text.h"
 
 #include <catch2/catch.hpp>
@@ -149,11 +151,75 @@
   CHECK_FALSE(Store.DecodeRoutes(routes(R"({"version":7,"routes":[{}]})")));
 }
 
+// Guards against placement and load settings that are dropped or misread.
+TEST_CASE("placement and load settings are decoded", "[platform]") {
+  auto Store = platform::makeStoreDialect();
+  auto Table = Store.DecodeRoutes(routes(
+      R"({"version":8,"routes":[
+        {"name":"a","host":"h","prefix":"/a/","kind":"safe","timeout-ms":600,
+         "target-latency-ms":60,"priority":2,"service":"x",
+         "allowed-regions":["north","south"]}],
+        "services":[{"name":"x","max-connections":31,"cold-start-s":3.5,
+                     "cold-per-s":12.5}]})"));
+  REQUIRE(Table);
+  CHECK(Table.value().Routes[0].Priority == 2);
+  CHECK(Table.value().Routes[0].AllowedRegions ==
+        std::vector<std::string>{"north", "south"});
+  CHECK(Table.value().Services.at("x").ColdRate == 12.5);
+  CHECK(Table.value().Services.at("x").ColdTime ==
+        std::chrono::milliseconds(3'500));
+  auto Page = Store.DecodePage(
+      R"({"items":[{"key":"op/evacuate/zone-a","value":"e30=","revision":3},
+          {"key":"op/evacuate/","value":"e30=","revision":4}],
+          "has-more":false,"as-of":9})");
+  REQUIRE(Page);
+  REQUIRE(Page.value().Items.size() == 1);
+  CHECK(Page.value().Items[0].Kind == ItemKind::Evacuation);
+  CHECK(Page.value().Items[0].Name == "zone-a");
+  auto Own = platform::readSettings(platformSettings() + R"([zones]
+zone-a = "north"
+zone-b = "south"
+[limits]
+cpu-share = 0.25
+cores = 2
+memory-mb = 160
+file-descriptors = 4100
+link-mbps = 26.0
+)",
+                                    "settings.toml");
+  REQUIRE(Own);
+  CHECK(Own.value().Regions.at(base::FailureDomainId("zone-b")) == "south");
+  CHECK(Own.value().Size.CpuCores == 0.5);
+  CHECK(Own.value().Size.MemoryBytes == 160U * 1'048'576U);
+  CHECK(Own.value().Size.FileDescriptors == 4'100);
+}
+
+// Guards against statements of servers that are misread, and against values out
+// of range that change how a server is used.
+TEST_CASE("statements in replies are decoded", "[platform]") {
+  using std::chrono::milliseconds;
+  CHECK(net::parseLoad("3,0,8")->Slots == 8);
+  CHECK_FALSE(net::parseLoad("3,0,8")->WorkPercent);
+  CHECK(net::parseLoad("3,0,8,250")->WorkPercent == 250U);
+  CHECK_FALSE(net::parseLoad("3,0,8,-1")->WorkPercent);
+  CHECK_FALSE(net::parseLoad("3,0"));
+  CHECK(net::parseRetryAfter("1.5") == milliseconds(1'500));
+  CHECK(net::parseMilliseconds("40") == milliseconds(40));
+  CHECK(net::parseMilliseconds("1e300") == milliseconds(600'000));
+  for (const char *Text : {"", "-1", "x", "nan", "inf", "1s"}) {
+    CHECK_FALSE(net::parseRetryAfter(Text));
+    CHECK_FALSE(net::parseMilliseconds(Text));
+  }
+}
+
 // Guards against names of the platform's wire outside the adapter.
 TEST_CASE("the platform's names stay in the adapter", "[platform]") {
   std::regex Names("X-Hickorycrank|kv-(key|range|watch)|op/config|"
                    "listen-addresses|traffic-split|min-shard-fraction|"
-                   "cold-remaining|readiness-address");
+                   "cold-remaining|readiness-address|op/evacuate|"
+                   "allowed-regions|cold-(start|per|overshoot|slack)|"
+                   "server-leaving",
+                   std::regex::icase);
   std::filesystem::path Root(HICKORYCRANK_SOURCE_DIR);
   for (const auto &Entry :
        std::filesystem::recursive_directory_iterator(Root / "src")) {
