Choose servers by placement: evacuations, statements and regions

The adapter decoded all of these, and nothing read them.

Change: forward/placement holds the decisions as free functions. A usable server is neither leaving, misdirected nor evacuated and is in an allowed failure domain; first attempts, retries, hedges, waiting calls and relayed calls choose among these only, and relays go to peers in allowed domains. Calls that placement leaves too few parts are refused at once as not run, with the new reasons "evacuated" and "no_allowed_region", or in a pause with the time until its first end. A view removes a deleted evacuation at once, one that a restored store lacks with delay. canReachShards counts no shard as lost because of placement.

--- a/src/discovery/view.cpp
+++ b/src/discovery/view.cpp
@@ -40,7 +40,10 @@
   }
   this->logChange(Changed);
   if (Changed.Deleted) {
-    this->remove(Now, Key, Policy);
+    // Only operators delete evacuations; no lease can have lapsed.
+    this->remove(Now, Key,
+                 Key.first == ItemKind::Evacuation ? RemovalPolicy::Immediate
+                                                   : Policy);
     return;
   }
   this->Items[Key] = StoredItem{Changed.ChangedItem, std::nullopt};
--- a/src/discovery/view_base.h
+++ b/src/discovery/view_base.h
@@ -35,7 +35,7 @@
    * @param Now Current time.
    * @param Received The update.
    * @param Policy When to remove items that are deleted or, in a complete
-   *   update, not listed.
+   *   update, not listed. A deleted evacuation is removed at once.
    * @return Whether the update was applied. Updates that are older than the
    *   view are rejected, and so are those that would leave a gap because they
    *   begin after the view's position or in another epoch. A complete update of
--- a/src/forward/action_type.h
+++ b/src/forward/action_type.h
@@ -74,10 +74,17 @@
   std::optional<double> PerSecond; ///< Nothing if it no longer states one.
 };
 
+/** Log that a server has stated in a reply that it wants no requests. */
+struct LogServerDeclines {
+  base::ServerId ServerId;
+  /** Time until it wants requests again; nothing if it is leaving. */
+  std::optional<std::chrono::milliseconds> RetryAfter;
+};
+
 using Action =
     std::variant<SendAttempt, AbandonAttempt, RespondCall,
                  CloseServerConnections, ProbeConnection, LogRateLimit,
-                 RelayRequest, CancelRelay, LogReachability>;
+                 RelayRequest, CancelRelay, LogReachability, LogServerDeclines>;
 using Actions = std::vector<Action>;
 
 } // namespace hickorycrank::forward
--- a/src/forward/call_type.h
+++ b/src/forward/call_type.h
@@ -3,6 +3,7 @@
 
 #include "base/id_type.h"
 #include "base/time_type.h"
+#include "forward/placement_type.h"
 #include "forward/route_type.h"
 #include "forward/server_set_base.h"
 
@@ -82,9 +83,11 @@
   Quarantined,   ///< Identical requests crashed backend servers.
   Timeout,       ///< No result before the deadline.
   BackendFailed, ///< Backend servers failed; it may have been executed.
+  Evacuated,     ///< The failure domains of all servers are evacuated.
+  NoAllowedRegion, ///< No server is in a region that the route allows.
 };
 
-inline constexpr size_t RefusalReasonCount = 7;
+inline constexpr size_t RefusalReasonCount = 9;
 
 /** Retry-after time of a refusal due to overload: servers that shed load
  * usually have capacity again within it. */
@@ -146,6 +149,9 @@
   PartPhase Phase = PartPhase::Waiting;
   bool Hedged = false;      ///< A hedge has been sent.
   bool RateLimited = false; ///< All servers had reached their rate limits.
+  /** When the first server accepts requests again if all have asked for a
+   * pause, as of the last check. */
+  std::optional<base::TimePoint> PausedUntil;
   uint32_t PossiblyDelivered = 0; ///< Attempts that a server may have received.
   uint32_t PossiblyRun = 0;       ///< Attempts that a server may have executed.
   uint32_t Retries = 0;
@@ -180,6 +186,7 @@
   base::TimePoint Deadline;
   base::TimePoint NextWake = base::TimePoint::max();
   base::Fingerprint Content;
+  DomainFilter Allowed; ///< Failure domains that may receive the request.
   /** First attempts are held back for a limited time while the server's queue
    * is long; see findDeferrable(). */
   bool Deferrable = false;
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -39,6 +39,10 @@
     return "timeout";
   case RefusalReason::BackendFailed:
     return "backend_failed";
+  case RefusalReason::Evacuated:
+    return "evacuated";
+  case RefusalReason::NoAllowedRegion:
+    return "no_allowed_region";
   }
   return "unknown";
 }
@@ -65,6 +69,7 @@
   std::erase_if(this->RoundRobinCredits, IsGone);
   std::erase_if(this->Latencies, IsGone);
   this->DeferrableRoutes = findDeferrable(*this->Table);
+  this->updateFilters();
   return true;
 }
 
@@ -73,6 +78,7 @@
   for (ServerKey Ended : this->Servers.apply(Now, Entries)) {
     Out.push_back(CloseServerConnections{Ended});
   }
+  markEvacuated(this->Servers, this->Evacuated);
 }
 
 void Engine::onInstances(size_t Instances) {
@@ -104,6 +110,9 @@
   CurrentCall.MatchedRoute = MatchedRoute;
   CurrentCall.ArrivedAt = Now;
   CurrentCall.Content = Request.Content;
+  auto Filter = this->Filters.find(MatchedRoute);
+  CurrentCall.Allowed =
+      Filter == this->Filters.end() ? nullptr : Filter->second;
   CurrentCall.Relayed = Request.Relayed;
   this->Counters.RelaysReceived += Request.Relayed ? 1 : 0;
   CurrentCall.Deferrable =
@@ -181,7 +190,8 @@
 void Engine::probeServers(TimePoint Now, Actions &Out) {
   for (const auto &[Id, Backend] : this->Servers.all()) {
     bool Due = Backend->Unreachable && !Backend->Probing &&
-               Backend->EjectedUntil <= Now && !Backend->Entry.Leaving;
+               Backend->EjectedUntil <= Now && !Backend->Entry.Leaving &&
+               !Backend->Evacuated;
     if (!Due) {
       continue;
     }
@@ -214,9 +224,7 @@
   for (const Route &RouteConfig : this->Table->Routes) {
     size_t Reachable = 0;
     for (const std::string &Shard : RouteConfig.Shards) {
-      const ServicePool &Pool = this->Servers.pool(Shard);
-      Reachable +=
-          hasUsableReplica(Pool) && !unreachableUntil(Now, Pool) ? 1 : 0;
+      Reachable += this->canReach(Now, RouteConfig, Shard) ? 1 : 0;
     }
     if (RouteConfig.fansOut() && Reachable < requiredParts(RouteConfig)) {
       return false;
--- a/src/forward/engine_admission.cpp
+++ b/src/forward/engine_admission.cpp
@@ -1,4 +1,5 @@
 #include "forward/engine_base.h"
+#include "forward/placement_func.h"
 #include "forward/replica_func.h"
 #include "forward/route_table_func.h"
 
@@ -73,11 +74,14 @@
   size_t Unreachables = 0;
   TimePoint RetryAt = Now + NoServerRetryAfter;
   for (Part &Entry : CurrentCall.Parts) {
-    auto Unreachable = unreachableUntil(Now, *Entry.Pool);
-    auto Limited = rateLimitedUntil(Now, *Entry.Pool, this->Instances);
+    auto Unreachable = unreachableUntil(Now, *Entry.Pool, CurrentCall.Allowed);
+    auto Limited = rateLimitedUntil(Now, *Entry.Pool, this->Instances,
+                                    CurrentCall.Allowed);
     Entry.RateLimited = Limited && isWaitTooLong(*Limited, CurrentCall);
+    Entry.PausedUntil = pausedUntil(Now, *Entry.Pool, CurrentCall.Allowed);
     Unreachables += Unreachable ? 1 : 0;
-    if (!hasUsableReplica(*Entry.Pool) || Entry.RateLimited ||
+    if (!hasUsableReplica(*Entry.Pool, CurrentCall.Allowed) ||
+        Entry.RateLimited ||
         (Unreachable && CurrentCall.MatchedRoute->fansOut())) {
       auto Until = Limited ? Limited : Unreachable;
       RetryAt = std::min(RetryAt, Until.value_or(RetryAt));
@@ -90,6 +94,7 @@
     return true;
   }
   if (UnavailableParts.size() > MaxOmitted) {
+    RetryAt = std::max(RetryAt, firstPauseEnd(CurrentCall).value_or(RetryAt));
     auto Wait = std::chrono::ceil<std::chrono::milliseconds>(RetryAt - Now);
     uncountUnsentRelay(Now, CurrentCall);
     this->refuse(CurrentCall.Id, {unsentReason(CurrentCall), false, Wait}, Out,
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -1,4 +1,5 @@
 #include "forward/engine_base.h"
+#include "forward/placement_func.h"
 #include "forward/replica_func.h"
 
 #include <algorithm>
@@ -152,6 +153,7 @@
   Criteria.MaxOutstanding = this->maxOutstanding(*CurrentPart.Pool);
   Criteria.Instances = this->Instances;
   Criteria.Avoid = {Tried.data(), Tried.size()};
+  Criteria.Allowed = CurrentCall.Allowed;
   Criteria.Idempotent = CurrentCall.MatchedRoute->Idempotent;
   // A hedge would use up the rate that first attempts need.
   Criteria.WithoutRateLimit = Choice == ServerChoice::ForHedge;
@@ -167,14 +169,15 @@
                ? Untried
                : this->choose(Now, CurrentCall, CurrentPart, ServerChoice::Any);
   }
-  return this->chooseTried(Now, CurrentPart);
+  return this->chooseTried(Now, CurrentCall, CurrentPart);
 }
 
-Server *Engine::chooseTried(TimePoint Now, const Part &CurrentPart) {
+Server *Engine::chooseTried(TimePoint Now, const Call &CurrentCall,
+                            const Part &CurrentPart) {
   Server *Last = nullptr;
   auto Consider = [&](Server *Tried) {
     if (Tried != nullptr && Tried->Entry.Service == CurrentPart.Pool->Service &&
-        !Tried->Entry.Leaving && !Tried->Misdirected &&
+        isUsable(*Tried, CurrentCall.Allowed) &&
         acceptsAt(Now, *Tried, this->Instances) <= Now) {
       Last = Tried;
     }
@@ -200,9 +203,12 @@
                            Part &CurrentPart) {
   bool MayBecomeAvailable =
       distinctServers(CurrentPart) < CurrentCall.MatchedRoute->MaxAttempts &&
-      hasUsableReplica(*CurrentPart.Pool);
-  auto Limited = rateLimitedUntil(Now, *CurrentPart.Pool, this->Instances);
+      hasUsableReplica(*CurrentPart.Pool, CurrentCall.Allowed);
+  auto Limited = rateLimitedUntil(Now, *CurrentPart.Pool, this->Instances,
+                                  CurrentCall.Allowed);
   CurrentPart.RateLimited = Limited.has_value();
+  CurrentPart.PausedUntil =
+      pausedUntil(Now, *CurrentPart.Pool, CurrentCall.Allowed);
   if (!MayBecomeAvailable ||
       (Limited && isWaitTooLong(*Limited, CurrentCall))) {
     CurrentPart.Phase = PartPhase::Failed;
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -5,6 +5,7 @@
 #include "forward/action_type.h"
 #include "forward/crash_record_base.h"
 #include "forward/peer_set_base.h"
+#include "forward/placement_func.h"
 #include "forward/reachability_base.h"
 #include "limits/latency_model_base.h"
 
@@ -22,6 +23,7 @@
 struct EngineOptions {
   base::FailureDomainId Domain; ///< Of this instance.
   limits::ExtraAttemptLimits Extra;
+  RegionMap Regions = {}; ///< Of failure domains; may lack some.
 };
 
 /** Counters of an engine; never reset. */
@@ -43,11 +45,12 @@
   uint64_t NotSent = 0;
   uint64_t Broken = 0;
   uint64_t Probes = 0;
-  uint64_t LateReplies = 0;      ///< Of abandoned attempts.
-  uint64_t RateLimitReplies = 0; ///< Replies that state a rate limit.
-  uint64_t Relays = 0;           ///< Calls passed on to other instances.
-  uint64_t RelaysFailed = 0;     ///< Without an answer of backend servers.
-  uint64_t RelaysReceived = 0;   ///< Calls passed on by other instances.
+  uint64_t LateReplies = 0;       ///< Of abandoned attempts.
+  uint64_t RateLimitReplies = 0;  ///< Replies that state a rate limit.
+  uint64_t RetryAfterReplies = 0; ///< Rejections that ask for a pause.
+  uint64_t Relays = 0;            ///< Calls passed on to other instances.
+  uint64_t RelaysFailed = 0;      ///< Without an answer of backend servers.
+  uint64_t RelaysReceived = 0;    ///< Calls passed on by other instances.
   std::array<uint64_t, RefusalReasonCount> Refusals{};
 };
 
@@ -83,6 +86,20 @@
   void onServers(base::TimePoint Now, const std::vector<ServerEntry> &Entries,
                  Actions &Out);
 
+  /**
+   * Replaces the set of evacuated failure domains. Their servers get no new
+   * requests; attempts in progress continue.
+   * @param Evacuated The failure domains.
+   */
+  void onEvacuations(DomainSet Evacuated);
+
+  /**
+   * Replaces the regions of failure domains, for requests that arrive from now
+   * on.
+   * @param Regions Region of each failure domain.
+   */
+  void setRegions(RegionMap Regions);
+
   /**
    * Sets the number of instances, which share budgets and connections.
    * @param Instances Instances including this one.
@@ -244,6 +261,12 @@
   size_t callsInProgress() const { return this->Calls.size(); }
   /** @return Number of listed servers. */
   size_t servers() const { return this->Servers.size(); }
+  /** @return The evacuated failure domains. */
+  const DomainSet &evacuated() const { return this->Evacuated; }
+  /** @return Servers in evacuated failure domains and the attempts there. */
+  EvacuationLoad evacuationLoad() const {
+    return countEvacuated(this->Servers);
+  }
   /** @return Record of requests that crash backend servers. */
   const CrashRecord &crashes() const { return this->Crashes; }
   /** @return Current counters. */
@@ -286,7 +309,8 @@
                            const Part &CurrentPart);
   /** @return A server that may already have the part and may get it again, or
    * nullptr. */
-  Server *chooseTried(base::TimePoint Now, const Part &CurrentPart);
+  Server *chooseTried(base::TimePoint Now, const Call &CurrentCall,
+                      const Part &CurrentPart);
   void waitForServer(base::TimePoint Now, Call &CurrentCall, Part &CurrentPart);
   static bool isWaitTooLong(base::TimePoint Until, const Call &CurrentCall);
   void startAttempt(base::TimePoint Now, Call &CurrentCall, uint32_t Index,
@@ -336,12 +360,25 @@
   void failRelayed(Call &CurrentCall, RefusalReason Reason, Actions &Out);
   void advanceRelay(base::TimePoint Now, Call &CurrentCall, Actions &Out);
 
+  // Placement (engine_placement.cpp).
+  void updateFilters();
+  /** @return Whether servers that a route may use for a shard are in reach, or
+   * placement leaves none, which is the same at other instances. */
+  bool canReach(base::TimePoint Now, const Route &RouteConfig,
+                const std::string &Shard);
+  /** @return Time after which to retry a call that was not run. */
+  static std::chrono::milliseconds notRunRetryAfter(base::TimePoint Now,
+                                                    const Call &CurrentCall);
+
   // Progress (engine_progress.cpp).
   void advance(base::TimePoint Now, Call &CurrentCall, Actions &Out);
   bool finishIfDone(base::TimePoint Now, Call &CurrentCall, Actions &Out);
-  void finishCall(Call &CurrentCall, bool TimedOut, Actions &Out);
-  CallResult buildResult(const Call &CurrentCall, bool TimedOut) const;
-  CallResult buildFailure(const Call &CurrentCall, bool TimedOut) const;
+  void finishCall(base::TimePoint Now, Call &CurrentCall, bool TimedOut,
+                  Actions &Out);
+  CallResult buildResult(base::TimePoint Now, const Call &CurrentCall,
+                         bool TimedOut) const;
+  CallResult buildFailure(base::TimePoint Now, const Call &CurrentCall,
+                          bool TimedOut) const;
   /** @return Reason of a refusal if no attempt was sent. */
   static RefusalReason unsentReason(const Call &CurrentCall);
   static CallSummary summarise(const Call &CurrentCall);
@@ -352,6 +389,9 @@
   std::shared_ptr<const RouteTable> Table;
   ServerSet Servers;
   PeerSet Peers;
+  DomainSet Evacuated;
+  /** For the routes of Table that name regions. */
+  std::unordered_map<const Route *, DomainFilter> Filters;
   Reachability Links;
   size_t Instances = 1;
   CrashRecord Crashes;
--- a/src/forward/engine_progress.cpp
+++ b/src/forward/engine_progress.cpp
@@ -73,15 +73,16 @@
     return true;
   }
   uncountUnsentRelay(Now, CurrentCall);
-  this->finishCall(CurrentCall, TimedOut, Out);
+  this->finishCall(Now, CurrentCall, TimedOut, Out);
   return true;
 }
 
-void Engine::finishCall(Call &CurrentCall, bool TimedOut, Actions &Out) {
+void Engine::finishCall(TimePoint Now, Call &CurrentCall, bool TimedOut,
+                        Actions &Out) {
   for (uint32_t I = 0; I < CurrentCall.Parts.size(); ++I) {
     this->abandonLiveAttempts(CurrentCall, I, Out);
   }
-  CallResult Result = this->buildResult(CurrentCall, TimedOut);
+  CallResult Result = this->buildResult(Now, CurrentCall, TimedOut);
   if (const auto *Reason = std::get_if<Refusal>(&Result)) {
     ++this->Counters.Refusals[static_cast<size_t>(Reason->Reason)];
   } else {
@@ -95,17 +96,18 @@
   this->Calls.erase(CurrentCall.Id.Value);
 }
 
-CallResult Engine::buildResult(const Call &CurrentCall, bool TimedOut) const {
+CallResult Engine::buildResult(TimePoint Now, const Call &CurrentCall,
+                               bool TimedOut) const {
   const Route &MatchedRoute = *CurrentCall.MatchedRoute;
   if (!MatchedRoute.fansOut()) {
     const Part &Only = CurrentCall.Parts.front();
     if (Only.Result) {
       return *Only.Result;
     }
-    return this->buildFailure(CurrentCall, TimedOut);
+    return this->buildFailure(Now, CurrentCall, TimedOut);
   }
   if (CurrentCall.Answered < requiredParts(MatchedRoute)) {
-    return this->buildFailure(CurrentCall, TimedOut);
+    return this->buildFailure(Now, CurrentCall, TimedOut);
   }
   MergedAnswer Merged;
   std::vector<std::string_view> Bodies;
@@ -121,7 +123,8 @@
   return Merged;
 }
 
-CallResult Engine::buildFailure(const Call &CurrentCall, bool TimedOut) const {
+CallResult Engine::buildFailure(TimePoint Now, const Call &CurrentCall,
+                                bool TimedOut) const {
   const Part &First = CurrentCall.Parts.front();
   if (!CurrentCall.MatchedRoute->fansOut() && First.Error) {
     return *First.Error;
@@ -139,10 +142,13 @@
   }
   return Refusal{Delivered ? RefusalReason::Overloaded
                            : unsentReason(CurrentCall),
-                 false, OverloadRetryAfter};
+                 false, notRunRetryAfter(Now, CurrentCall)};
 }
 
 RefusalReason Engine::unsentReason(const Call &CurrentCall) {
+  if (auto Reason = placementRefusal(CurrentCall)) {
+    return *Reason;
+  }
   bool RateLimited =
       std::any_of(CurrentCall.Parts.begin(), CurrentCall.Parts.end(),
                   [](const Part &Entry) { return Entry.RateLimited; });
--- a/src/forward/engine_relay.cpp
+++ b/src/forward/engine_relay.cpp
@@ -69,7 +69,8 @@
   return std::any_of(CurrentCall.Parts.begin(), CurrentCall.Parts.end(),
                      [&](const Part &Entry) {
                        return Entry.Phase != PartPhase::Answered &&
-                              unreachableUntil(Now, *Entry.Pool);
+                              unreachableUntil(Now, *Entry.Pool,
+                                               CurrentCall.Allowed);
                      });
 }
 
@@ -138,7 +139,7 @@
   Peer *Chosen = this->Peers.choose(
       Now, CurrentCall.MatchedRoute->Name, this->Options.Domain,
       {CurrentCall.RelayedTo.data(), CurrentCall.RelayedTo.size()},
-      this->Generator);
+      this->Generator, CurrentCall.Allowed);
   if (Chosen == nullptr || !this->payForRelay(Now, CurrentCall)) {
     return false;
   }
--- a/src/forward/engine_replies.cpp
+++ b/src/forward/engine_replies.cpp
@@ -85,6 +85,14 @@
   if (Received.Load) {
     recordLoad(Now, Backend, *Received.Load);
   }
+  if (Received.ServerLeaving && !Backend.StatedLeaving) {
+    this->Servers.recordLeaving(Now, Backend);
+    Out.push_back(LogServerDeclines{Backend.Entry.Id, std::nullopt});
+  }
+  if (auto Pause = recordRetryAfter(Now, Backend, Received)) {
+    ++this->Counters.RetryAfterReplies;
+    Out.push_back(LogServerDeclines{Backend.Entry.Id, Pause});
+  }
   this->Counters.RateLimitReplies += Received.RateLimit ? 1 : 0;
   std::optional<double> Before;
   if (Backend.RateLimit) {
--- a/src/forward/peer_set.cpp
+++ b/src/forward/peer_set.cpp
@@ -1,5 +1,7 @@
 #include "forward/peer_set_base.h"
 
+#include "forward/placement_func.h"
+
 #include <algorithm>
 
 namespace hickorycrank::forward {
@@ -37,8 +39,8 @@
 
 Peer *PeerSet::choose(base::TimePoint Now, const std::string &Route,
                       const base::FailureDomainId &Domain,
-                      std::span<const ServerKey> Avoid,
-                      base::Random &Generator) {
+                      std::span<const ServerKey> Avoid, base::Random &Generator,
+                      const DomainFilter &Allowed) {
   Peer *Best = nullptr;
   uint32_t BestCost = 0;
   uint64_t Ties = 0;
@@ -47,7 +49,8 @@
     bool Refuses =
         Avoided != Candidate.RouteAvoidUntil.end() && Now < Avoided->second;
     bool Usable =
-        Candidate.Listed && Now >= Candidate.AvoidUntil && !Refuses &&
+        Candidate.Listed && isAllowed(Allowed, Candidate.Entry.Domain) &&
+        Now >= Candidate.AvoidUntil && !Refuses &&
         Candidate.Outstanding < MaxOutstanding &&
         std::find(Avoid.begin(), Avoid.end(), Candidate.Key) == Avoid.end();
     if (!Usable) {
--- a/src/forward/peer_set_base.h
+++ b/src/forward/peer_set_base.h
@@ -3,6 +3,7 @@
 
 #include "base/random_base.h"
 #include "base/time_type.h"
+#include "forward/placement_type.h"
 #include "forward/server_type.h"
 
 #include <map>
@@ -50,11 +51,13 @@
    * @param Domain Failure domain of this instance.
    * @param Avoid Peers that already had the request.
    * @param Generator Source of random tie-breaking.
+   * @param Allowed Failure domains that the route allows.
    * @return A peer, or nullptr if none may be used now.
    */
   Peer *choose(base::TimePoint Now, const std::string &Route,
                const base::FailureDomainId &Domain,
-               std::span<const ServerKey> Avoid, base::Random &Generator);
+               std::span<const ServerKey> Avoid, base::Random &Generator,
+               const DomainFilter &Allowed = nullptr);
 
   /** @param Key A key. @return The peer, or nullptr. */
   Peer *find(ServerKey Key);
--- a/src/forward/reachability.cpp
+++ b/src/forward/reachability.cpp
@@ -1,5 +1,6 @@
 #include "forward/reachability_base.h"
 
+#include "forward/placement_func.h"
 #include "forward/replica_func.h"
 
 #include <algorithm>
@@ -55,7 +56,7 @@
   this->Silent = 0;
   this->Connectable = 0;
   for (const auto &[Id, Backend] : Servers.all()) {
-    if (Backend->Entry.Leaving || Backend->Misdirected) {
+    if (!isUsable(*Backend, nullptr)) {
       continue;
     }
     ++this->Usable;
--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -1,5 +1,7 @@
 #include "forward/replica_func.h"
 
+#include "forward/placement_func.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -117,10 +119,6 @@
   return Cost / (Success * Success);
 }
 
-bool isUsable(const Server &Backend) {
-  return !Backend.Entry.Leaving && !Backend.Misdirected;
-}
-
 /** @return Whether the server was ejected and may be tested by one attempt at a
  * time. */
 bool onProbation(const Server &Backend) {
@@ -135,7 +133,8 @@
 }
 
 bool isCandidate(const Server &Backend, const ReplicaCriteria &Criteria) {
-  return isUsable(Backend) && isWithinRateLimit(Backend, Criteria) &&
+  return isUsable(Backend, Criteria.Allowed) &&
+         isWithinRateLimit(Backend, Criteria) &&
          Backend.Outstanding.size() < Criteria.MaxOutstanding &&
          std::find(Criteria.Avoid.begin(), Criteria.Avoid.end(), Backend.Key) ==
              Criteria.Avoid.end();
@@ -186,9 +185,10 @@
 } // namespace
 
 TimePoint acceptsAt(TimePoint Now, const Server &Backend, size_t Instances) {
-  return Backend.RateLimit
-             ? limits::nextTurn(*Backend.RateLimit, Now, Instances)
-             : Now;
+  TimePoint Turn = Backend.RateLimit
+                       ? limits::nextTurn(*Backend.RateLimit, Now, Instances)
+                       : Now;
+  return std::max(Turn, Backend.PausedUntil);
 }
 
 Duration expectedTime(TimePoint Now, const Server &Backend,
@@ -247,16 +247,18 @@
   return Best;
 }
 
-bool hasUsableReplica(const ServicePool &Pool) {
-  return std::any_of(Pool.Servers.begin(), Pool.Servers.end(),
-                     [](const Server *Entry) { return isUsable(*Entry); });
+bool hasUsableReplica(const ServicePool &Pool, const DomainFilter &Allowed) {
+  return std::any_of(
+      Pool.Servers.begin(), Pool.Servers.end(),
+      [&](const Server *Entry) { return isUsable(*Entry, Allowed); });
 }
 
 std::optional<TimePoint> unreachableUntil(TimePoint Now,
-                                          const ServicePool &Pool) {
+                                          const ServicePool &Pool,
+                                          const DomainFilter &Allowed) {
   std::optional<TimePoint> First;
   for (const Server *Entry : Pool.Servers) {
-    if (!isUsable(*Entry)) {
+    if (!isUsable(*Entry, Allowed)) {
       continue;
     }
     if (!Entry->Unreachable) {
@@ -268,11 +270,13 @@
   return First;
 }
 
-std::optional<TimePoint>
-rateLimitedUntil(TimePoint Now, const ServicePool &Pool, size_t Instances) {
+std::optional<TimePoint> rateLimitedUntil(TimePoint Now,
+                                          const ServicePool &Pool,
+                                          size_t Instances,
+                                          const DomainFilter &Allowed) {
   std::optional<TimePoint> First;
   for (const Server *Entry : Pool.Servers) {
-    if (!isUsable(*Entry) || Entry->Unreachable) {
+    if (!isUsable(*Entry, Allowed) || Entry->Unreachable) {
       continue;
     }
     TimePoint At = acceptsAt(Now, *Entry, Instances);
--- a/src/forward/replica_func.h
+++ b/src/forward/replica_func.h
@@ -2,6 +2,7 @@
 #define HICKORYCRANK_FORWARD_REPLICA_FUNC_H
 
 #include "base/random_base.h"
+#include "forward/placement_type.h"
 #include "forward/server_set_base.h"
 
 #include <optional>
@@ -21,6 +22,7 @@
   /** Whether the request is idempotent. Only idempotent requests test a server
    * whose ejection has ended. */
   bool Idempotent = false;
+  DomainFilter Allowed; ///< Failure domains that the route allows.
   /** Skips servers that state a rate limit. */
   bool WithoutRateLimit = false;
 };
@@ -83,42 +85,49 @@
  * Checks whether a service has a server that can be used now or after an
  * outstanding attempt has ended.
  * @param Pool Servers of the service.
+ * @param Allowed Failure domains that the route allows.
  * @return Whether there is such a server.
  */
-bool hasUsableReplica(const ServicePool &Pool);
+bool hasUsableReplica(const ServicePool &Pool,
+                      const DomainFilter &Allowed = nullptr);
 
 /**
  * Checks whether all usable servers of a service are unreachable.
  * @param Now Current time.
  * @param Pool Servers of the service.
+ * @param Allowed Failure domains that the route allows.
  * @return Earliest time at which a probe may find one reachable, or nothing if
  *   a server may be reachable now or none is usable.
  */
-std::optional<base::TimePoint> unreachableUntil(base::TimePoint Now,
-                                                const ServicePool &Pool);
+std::optional<base::TimePoint>
+unreachableUntil(base::TimePoint Now, const ServicePool &Pool,
+                 const DomainFilter &Allowed = nullptr);
 
 /**
- * Finds when a server accepts a request under the rate limit that it states.
+ * Finds when a server accepts a request under the rate limit that it states
+ * and after the pause that it has asked for.
  * @param Now Current time.
  * @param Backend The server.
  * @param Instances Number of instances that share the limit.
- * @return Now, or the start of this instance's next turn.
+ * @return Now, or the later of the start of this instance's next turn and the
+ *   end of the pause.
  */
 base::TimePoint acceptsAt(base::TimePoint Now, const Server &Backend,
                           size_t Instances);
 
 /**
  * Checks whether all reachable servers of a service have reached the rate
- * limits that they state.
+ * limits that they state or have asked for a pause.
  * @param Now Current time.
  * @param Pool Servers of the service.
  * @param Instances Number of instances that share the limits.
+ * @param Allowed Failure domains that the route allows.
  * @return Earliest time at which one of them accepts a request, or nothing if
  *   one accepts it now or none is reachable.
  */
-std::optional<base::TimePoint> rateLimitedUntil(base::TimePoint Now,
-                                                const ServicePool &Pool,
-                                                size_t Instances);
+std::optional<base::TimePoint>
+rateLimitedUntil(base::TimePoint Now, const ServicePool &Pool, size_t Instances,
+                 const DomainFilter &Allowed = nullptr);
 
 /**
  * Checks whether a server has stopped replying, for example because its process
--- a/src/forward/server_set.cpp
+++ b/src/forward/server_set.cpp
@@ -45,6 +45,7 @@
       this->add(Now, Entry);
       continue;
     }
+    Entry.Leaving = Entry.Leaving || Existing->second->StatedLeaving;
     Existing->second->Entry = std::move(Entry);
   }
   std::vector<std::string> Unlisted;
@@ -74,6 +75,14 @@
   return Departed;
 }
 
+void ServerSet::recordLeaving(base::TimePoint Now, Server &Backend) {
+  Backend.StatedLeaving = true;
+  Backend.Entry.Leaving = true;
+  if (Backend.Entry.StartedAt != 0) {
+    this->Departures[Backend.Entry.Id.Value] = {Backend.Entry.StartedAt, Now};
+  }
+}
+
 ServicePool &ServerSet::pool(const std::string &Service) {
   ServicePool &Found = this->Pools[Service];
   if (Found.Service.empty()) {
--- a/src/forward/server_set_base.h
+++ b/src/forward/server_set_base.h
@@ -37,6 +37,14 @@
   std::vector<ServerKey> apply(base::TimePoint Now,
                                const std::vector<ServerEntry> &Entries);
 
+  /**
+   * Records that a server has stated in a reply that it is leaving. It stays so
+   * for the rest of this incarnation.
+   * @param Now Current time.
+   * @param Backend The server.
+   */
+  void recordLeaving(base::TimePoint Now, Server &Backend);
+
   /**
    * Returns the servers of a service, creating an empty pool if needed.
    * @param Service Name of the service.
--- a/src/forward/server_type.h
+++ b/src/forward/server_type.h
@@ -63,6 +63,11 @@
   ServerKey Key;
   ServerEntry Entry;
   bool Misdirected = false; ///< Another server is using its address.
+  bool Evacuated = false;   ///< Its failure domain is evacuated.
+  /** It has stated in a reply that it is leaving. */
+  bool StatedLeaving = false;
+  /** It has rejected a request and gets no others until then. */
+  base::TimePoint PausedUntil;
   base::TimePoint ColdUntil;
   std::vector<OutstandingAttempt> Outstanding;
   double LatencyFactor = 1;   ///< Smoothed ratio to the typical latency.
