Apply evacuations of the view, log and count them

Cause: operators could not see evacuations, nor which servers had declined requests, and the gateway passed no evacuation to the engine.

Change: the gateway passes the evacuation items of its view to the engine with each view change and each removal that is due, before the servers, and the regions of the settings at start and reload. Logs: server.domain_evacuated and server.domain_returned with revision, server.leaving, server.paused.

--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -35,6 +35,7 @@
   forward::EngineOptions Options;
   Options.Domain = Settings.Domain;
   Options.Extra = Settings.Extra;
+  Options.Regions = Settings.Regions;
   return Options;
 }
 
@@ -183,6 +184,7 @@
       this->Reader->restartWatch();
     }
     if (this->View.expire(Event.Now)) {
+      this->applyEvacuations();
       this->applyServers();
     }
     // WakeTimer does not advance while the machine is suspended.
@@ -300,6 +302,8 @@
       this->PeerLinks.cancel(Ended->Ref, Ended->Peer);
     } else if (auto *Links = std::get_if<forward::LogReachability>(&Action)) {
       this->execute(*Links);
+    } else if (auto *Told = std::get_if<forward::LogServerDeclines>(&Action)) {
+      this->execute(*Told);
     }
   }
   this->scheduleWake();
@@ -483,6 +487,10 @@
   this->Settings.ChangeBound = Changed.ChangeBound;
   this->Reader->setTiming(fleet::makeReadTiming(Changed.ChangeBound));
   this->Engine.setExtraLimits(Changed.Extra);
+  if (Changed.Regions != this->Settings.Regions) {
+    this->Settings.Regions = Changed.Regions;
+    this->Engine.setRegions(Changed.Regions);
+  }
   this->Fleet->setSeeds(Changed.Seeds);
   logEvent(LogLevel::Info, "gateway.reloaded",
            {{"seeds", std::to_string(Changed.Seeds.size())}});
--- a/src/daemon/gateway_base.h
+++ b/src/daemon/gateway_base.h
@@ -120,7 +120,9 @@
   void updateReaderRole(base::TimePoint Now);
   void applyView();
   void applyConfiguration();
+  void applyEvacuations();
   void applyServers();
+  void execute(const forward::LogServerDeclines &Statement);
   void onHeartbeat(const fleet::Heartbeat &Received);
   fleet::Heartbeat makeHeartbeat() const;
   void handleControl(const net::HttpCall &Call);
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -63,6 +63,7 @@
 
 void Gateway::applyView() {
   this->applyConfiguration();
+  this->applyEvacuations();
   this->applyServers();
 }
 
@@ -102,6 +103,35 @@
   }
 }
 
+void Gateway::applyEvacuations() {
+  forward::DomainSet Evacuated;
+  const forward::DomainSet &Before = this->Engine.evacuated();
+  for (const discovery::Item &Entry : this->View.items(ItemKind::Evacuation)) {
+    base::FailureDomainId Domain(Entry.Name);
+    if (!Before.contains(Domain)) {
+      this->EventLog.log(
+          Clock::now(), LogLevel::Warning, "server.domain_evacuated",
+          {{"failure_domain", Entry.Name},
+           {"epoch", std::to_string(Entry.Position.Epoch)},
+           {"revision", std::to_string(Entry.Position.Revision)}});
+    }
+    Evacuated.insert(std::move(Domain));
+  }
+  const discovery::StorePosition &Position = this->View.position();
+  for (const base::FailureDomainId &Domain : Before) {
+    if (!Evacuated.contains(Domain)) {
+      this->EventLog.log(Clock::now(), LogLevel::Warning,
+                         "server.domain_returned",
+                         {{"failure_domain", Domain.Value},
+                          {"epoch", std::to_string(Position.Epoch)},
+                          {"revision", std::to_string(Position.Revision)}});
+    }
+  }
+  if (Evacuated != Before) {
+    this->Engine.onEvacuations(std::move(Evacuated));
+  }
+}
+
 void Gateway::applyServers() {
   std::vector<forward::ServerEntry> Entries;
   std::map<std::string, DecodedServer> Updated;
@@ -139,6 +169,16 @@
   this->executeActions(std::move(Actions));
 }
 
+void Gateway::execute(const forward::LogServerDeclines &Statement) {
+  LogFields Fields{{"server", Statement.ServerId.Value}};
+  if (Statement.RetryAfter) {
+    Fields["retry_after_ms"] = std::to_string(Statement.RetryAfter->count());
+  }
+  this->EventLog.log(Clock::now(), LogLevel::Info,
+                     Statement.RetryAfter ? "server.paused" : "server.leaving",
+                     std::move(Fields));
+}
+
 void Gateway::onHeartbeat(const fleet::Heartbeat &Received) {
   fleet::recordClaim(this->Freshness, suspendAwareNow(), Received,
                      this->View.lastChange());
@@ -224,6 +264,7 @@
   Count("connection_probes", EngineCounters.Probes);
   Count("late_replies", EngineCounters.LateReplies);
   Count("rate_limit_replies", EngineCounters.RateLimitReplies);
+  Count("retry_after_replies", EngineCounters.RetryAfterReplies);
   Count("relays", EngineCounters.Relays);
   Count("relays_failed", EngineCounters.RelaysFailed);
   Count("relays_received", EngineCounters.RelaysReceived);
@@ -261,6 +302,11 @@
   Add("instances", static_cast<double>(this->Fleet->instances(Clock::now())));
   Add("routes_observed", static_cast<double>(this->Engine.observedRoutes()));
   Add("backend_servers", static_cast<double>(this->Engine.servers()));
+  forward::EvacuationLoad Evacuated = this->Engine.evacuationLoad();
+  Add("evacuated_domains",
+      static_cast<double>(this->Engine.evacuated().size()));
+  Add("evacuated_servers", static_cast<double>(Evacuated.Servers));
+  Add("evacuated_attempts", static_cast<double>(Evacuated.Attempts));
   Add("reaches_servers", this->Engine.reachesServers() ? 1 : 0);
   Add("peer_connections", static_cast<double>(this->PeerLinks.connections()));
   Add("connections", static_cast<double>(this->Upstream.connections()));
--- a/src/diagnosis/explain.cpp
+++ b/src/diagnosis/explain.cpp
@@ -101,6 +101,15 @@
                       : "the servers' queues were too long or the servers "
                         "refused it; it was not run";
   }
+  if (Reason == "evacuated") {
+    return "the failure domains of its servers were evacuated in view "
+           "revision " +
+           fieldText(Record, "view_revision") + "; it was not run";
+  }
+  if (Reason == "no_allowed_region") {
+    return "no server in a region that the route allows in view revision " +
+           fieldText(Record, "view_revision") + "; it was not run";
+  }
   if (Reason == "quarantined") {
     return "earlier requests with the same content crashed servers";
   }
