Bound the bytes that are held for slow callers and servers

Cause: a response that its caller does not read stayed in memory for 15 s, a request that a server does not read for the whole call, and idle connections to servers kept a copy of their last request. Only unfinished replies had a common limit, so many slow readers could exceed the memory of the process.

A response without progress for 5 s, or not taken 2 s after the caller's deadline, ends its connection; a request without progress for 1.5 s fails, as not sent only if no byte was taken. Where all peers read, a message costs an addition and a subtraction more.

--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -144,6 +144,7 @@
                            [this](base::TimePoint VerifiedAt) {
                              fleet::recordOwnRead(this->Freshness, VerifiedAt);
                            }});
+  this->startMemoryLimit();
   this->CallerServer.start();
   this->RelayServer.start();
   this->ReadinessServer.start();
@@ -243,6 +244,7 @@
   forward::CallRequest CallDetails;
   CallDetails.Remaining =
       remainingTime(Request, this->Dialect.Headers).value_or(DefaultRemaining);
+  NewCall.Remaining = CallDetails.Remaining;
   CallDetails.Content = requestFingerprint(Request);
   CallDetails.Relayed = Origin.Server == &this->RelayServer;
   if (CallDetails.Relayed) {
@@ -355,7 +357,8 @@
   Pending Ended = std::move(Found->second);
   this->Calls.erase(Found);
   this->CallBySource.erase(Ended.Origin);
-  this->logResult(Ended, Outcome, suspendAwareNow() - Ended.ArrivedAt);
+  Duration Took = suspendAwareNow() - Ended.ArrivedAt;
+  this->logResult(Ended, Outcome, Took);
   const net::ForwardHeaders &Names = this->Dialect.Headers;
   net::ForwardResponse Response = toResponse(Outcome.Result, Names);
   if (Ended.Origin.Server == &this->RelayServer) {
@@ -366,7 +369,8 @@
       Response.set(net::RelayUnsentField, "1");
     }
   }
-  Ended.Origin.Server->respond(Ended.Origin.Token, std::move(Response));
+  Ended.Origin.Server->respond(Ended.Origin.Token, std::move(Response),
+                               Ended.Remaining - Took);
 }
 
 void Gateway::logResult(const Pending &Ended,
--- a/src/daemon/gateway_base.h
+++ b/src/daemon/gateway_base.h
@@ -88,6 +88,7 @@
     RequestSource Origin;
     std::shared_ptr<const net::UpstreamRequest> Source;
     base::TimePoint ArrivedAt;
+    base::Duration Remaining{}; ///< Until the caller's deadline, at ArrivedAt.
   };
   /** A decoded server item of the view, cached by its position. */
   struct DecodedServer {
@@ -115,6 +116,11 @@
   void updateIsolation(base::TimePoint Now);
   void updatePeers(base::TimePoint Now);
 
+  // Memory held for slow callers and servers (gateway_memory.cpp).
+  void startMemoryLimit();
+  void onMemoryExceeded();
+  void closeLargestHolders();
+
   // Configuration and server discovery (gateway_view.cpp).
   void onUpdate(const discovery::Update &Update, bool StoreStable);
   void updateReaderRole(base::TimePoint Now);
@@ -128,6 +134,8 @@
   boost::asio::io_context &Context;
   config::GatewaySettings Settings;
   GatewayDialect Dialect;
+  std::shared_ptr<limits::MemoryLedger> Ledger;
+  bool ReleasePending = false; ///< closeLargestHolders() has been scheduled.
   forward::Engine Engine;
   discovery::View View;
   net::UpstreamPool Upstream;
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -240,6 +240,9 @@
   Count("surplus_bytes", UpstreamCounters.SurplusBytes);
   Count("oversized_replies", UpstreamCounters.OversizedReplies);
   Count("abandoned_closed", UpstreamCounters.AbandonedClosed);
+  Count("server_writes_stalled", UpstreamCounters.WritesStalled);
+  Count("server_connections_closed_for_memory",
+        UpstreamCounters.ClosedForMemory);
   Count("store_calls", this->Reader->counters().Calls);
   Count("store_failures", this->Reader->counters().Failures);
   Count("store_restores", this->Reader->counters().Restores);
@@ -258,6 +261,11 @@
   Count("caller_requests_too_large", CallerCounters.TooLarge);
   Count("caller_header_timeouts", CallerCounters.HeaderTimeouts);
   Count("caller_idle_closed", CallerCounters.IdleClosed);
+  Count("caller_writes_stalled", CallerCounters.WritesStalled);
+  Count("caller_writes_too_late", CallerCounters.WritesTooLate);
+  Count("caller_connections_closed_for_memory", CallerCounters.ClosedForMemory);
+  Add("held_bytes", static_cast<double>(this->Ledger->heldBytes()));
+  Add("held_bytes_limit", static_cast<double>(this->Ledger->maxBytes()));
   Add("instances", static_cast<double>(this->Fleet->instances(Clock::now())));
   Add("routes_observed", static_cast<double>(this->Engine.observedRoutes()));
   Add("backend_servers", static_cast<double>(this->Engine.servers()));
--- a/src/net/forward_server.cpp
+++ b/src/net/forward_server.cpp
@@ -52,10 +52,24 @@
   this->Shared->Limits = Limits;
 }
 
-void ForwardServer::respond(ForwardToken Token, ForwardResponse &&Response) {
+void ForwardServer::setLedger(std::shared_ptr<limits::MemoryLedger> Ledger) {
+  this->Shared->Ledger = std::move(Ledger);
+}
+
+void ForwardServer::listHolders(std::vector<MemoryHolder> &Out) {
+  for (const auto &Session : this->Shared->Sessions) {
+    if (Session->heldBytes() > 0) {
+      Out.push_back(
+          {Session->heldBytes(), [Session] { Session->closeForMemory(); }});
+    }
+  }
+}
+
+void ForwardServer::respond(ForwardToken Token, ForwardResponse &&Response,
+                            base::Duration TimeLeft) {
   auto Found = this->Shared->Waiting.find(Token);
   if (Found != this->Shared->Waiting.end()) {
-    Found->second->respond(std::move(Response));
+    Found->second->respond(std::move(Response), TimeLeft);
   }
 }
 
--- a/src/net/forward_server_base.h
+++ b/src/net/forward_server_base.h
@@ -4,6 +4,7 @@
 #include "base/time_type.h"
 #include "config/settings_type.h"
 #include "forward/route_type.h"
+#include "net/memory_holder_func.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/message.hpp>
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace hickorycrank::net {
 
@@ -31,6 +33,9 @@
   uint64_t HeaderTimeouts = 0;
   uint64_t IdleClosed = 0;
   uint64_t CallersGone = 0;
+  uint64_t WritesStalled = 0;   ///< Callers that took no byte for too long.
+  uint64_t WritesTooLate = 0;   ///< Responses not taken before the deadline.
+  uint64_t ClosedForMemory = 0; ///< Connections that held too much.
 };
 
 /**
@@ -39,6 +44,11 @@
  */
 class ForwardServer {
 public:
+  /** Time without any progress after which a response is given up. */
+  static constexpr base::Duration WriteStallTime = std::chrono::seconds(5);
+  /** Time after the caller's deadline for the rest of its response. */
+  static constexpr base::Duration WriteMargin = std::chrono::seconds(2);
+
   /** What the server tells its owner. */
   struct Callbacks {
     /** A whole request; answered by respond(). */
@@ -63,6 +73,15 @@
   /** Begins to accept connections. */
   void start();
 
+  /** Counts what connections hold from now on; call it before start().
+   * @param Ledger The ledger. */
+  void setLedger(std::shared_ptr<limits::MemoryLedger> Ledger);
+
+  /** Appends the connections that hold bytes.
+   * @param Out Valid until a connection is opened or closed otherwise than by
+   *   the list. */
+  void listHolders(std::vector<MemoryHolder> &Out);
+
   /** Puts limits in force. @param Limits Limits for callers. */
   void setLimits(const forward::CallerLimits &Limits);
 
@@ -70,8 +89,11 @@
    * Answers a request; a token whose caller has gone is ignored.
    * @param Token The request.
    * @param Response The response; its framing fields are set here.
+   * @param TimeLeft Time until the caller's deadline. The response is given up
+   *   WriteMargin later, as nobody waits for it then.
    */
-  void respond(ForwardToken Token, ForwardResponse &&Response);
+  void respond(ForwardToken Token, ForwardResponse &&Response,
+               base::Duration TimeLeft);
 
   /**
    * Sets whether each response is the last one of its connection.
--- a/src/net/forward_session.cpp
+++ b/src/net/forward_session.cpp
@@ -1,9 +1,9 @@
 #include "net/forward_session_base.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/write.hpp>
 #include <string>
 #include <utility>
 
@@ -19,8 +19,8 @@
 /** Time that input is read after the last response, so that unread bytes do
  * not reset the connection before the caller has the response. */
 constexpr base::Duration LingerTime = std::chrono::milliseconds(1'000);
-/** Time for a response to be taken by the caller. */
-constexpr base::Duration WriteTimeout = std::chrono::seconds(15);
+/** Time for the response to a request that states no valid deadline. */
+constexpr base::Duration RejectTime = std::chrono::seconds(10);
 /** Input kept while a request is in progress; more closes the connection. */
 constexpr size_t MaxPipelinedBytes = 65'536;
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -30,7 +30,7 @@
 ForwardSession::ForwardSession(tcp::socket Socket,
                                std::shared_ptr<ForwardServer::State> Server)
     : Socket(std::move(Socket)), Server(std::move(Server)),
-      PhaseSince(base::Clock::now()) {}
+      PhaseSince(base::Clock::now()), Held(this->Server->Ledger) {}
 
 void ForwardSession::start() { this->read(); }
 
@@ -74,6 +74,7 @@
     this->onEnd();
     return;
   }
+  this->countHeld();
   this->read();
 }
 
@@ -84,11 +85,13 @@
     this->Current->header_limit(this->Server->Limits.MaxHeaderBytes);
     this->Current->body_limit(this->Server->Limits.MaxBodyBytes);
     this->ContinueSent = false;
+    this->RequestBytes = 0;
   }
   beast::error_code Failure;
   while (!this->Current->is_done() && this->Buffer.size() > 0 && !Failure) {
     size_t Used = this->Current->put(this->Buffer.data(), Failure);
     this->Buffer.consume(Used);
+    this->RequestBytes += Used;
     if (Used == 0 && !Failure) {
       break;
     }
@@ -143,45 +146,60 @@
   this->Server->Handlers.OnRequest(this->Token, std::move(Request));
 }
 
-void ForwardSession::respond(ForwardResponse &&Response) {
+void ForwardSession::respond(ForwardResponse &&Response,
+                             base::Duration TimeLeft) {
   this->Server->Waiting.erase(this->Token);
   --this->Server->InProgress;
-  this->write(std::move(Response));
+  this->write(std::move(Response), TimeLeft);
 }
 
 void ForwardSession::reject(unsigned Status) {
   this->Current.reset();
   this->KeepAlive = false;
-  this->write(ForwardResponse(http::int_to_status(Status), 11));
+  this->write(ForwardResponse(http::int_to_status(Status), 11), RejectTime);
 }
 
-void ForwardSession::write(ForwardResponse &&Response) {
-  this->Outgoing.emplace(std::move(Response));
+void ForwardSession::write(ForwardResponse &&Response,
+                           base::Duration TimeLeft) {
+  ForwardResponse &Message = this->Outgoing.Content;
+  Message = std::move(Response);
   bool Keep = this->KeepAlive && !this->Server->Closing;
-  this->Outgoing->version(11);
-  this->Outgoing->keep_alive(Keep);
+  Message.version(11);
+  Message.keep_alive(Keep);
   if (this->Head) {
-    this->Outgoing->body().clear();
+    Message.body().clear();
   } else {
-    this->Outgoing->content_length(this->Outgoing->body().size());
+    Message.content_length(Message.body().size());
   }
   this->enter(SessionPhase::Writing);
-  http::async_write(this->Socket, *this->Outgoing,
-                    [Self = this->shared_from_this(),
-                     Keep](beast::error_code Failure, size_t) {
-                      if (Failure) {
-                        Self->close();
-                        return;
-                      }
-                      Self->onWritten(Keep);
-                    });
+  this->RequestBytes = 0;
+  this->WriteBy = this->PhaseSince +
+                  std::max(TimeLeft, base::Duration::zero()) +
+                  ForwardServer::WriteMargin;
+  startWrite(
+      this->Socket, this->Outgoing,
+      [Self = this->shared_from_this(), Keep](beast::error_code Failure) {
+        if (Failure) {
+          Self->close();
+          return;
+        }
+        Self->onWritten(Keep);
+      });
+  this->countHeld();
+}
+
+void ForwardSession::countHeld() {
+  if (this->Phase != SessionPhase::Closed) {
+    this->Held.set(this->RequestBytes + this->Buffer.size() +
+                   this->Outgoing.heldBytes());
+  }
 }
 
 void ForwardSession::onWritten(bool Keep) {
   if (this->Phase == SessionPhase::Closed) {
     return;
   }
-  this->Outgoing.reset();
+  this->countHeld();
   if (!Keep) {
     beast::error_code Ignored; // The caller may have closed it already.
     this->Socket.shutdown(tcp::socket::shutdown_send, Ignored);
@@ -216,6 +234,7 @@
     return;
   }
   this->enter(SessionPhase::Closed);
+  this->Held.set(0);
   beast::error_code Ignored;
   this->Socket.close(Ignored);
   this->Server->Sessions.erase(this->shared_from_this());
@@ -246,9 +265,7 @@
     }
     break;
   case SessionPhase::Writing:
-    if (Age > WriteTimeout) {
-      this->close();
-    }
+    this->sweepWrite(Now);
     break;
   case SessionPhase::Lingering:
     if (Age > LingerTime) {
@@ -261,6 +278,25 @@
   }
 }
 
+void ForwardSession::sweepWrite(base::TimePoint Now) {
+  bool Stalled =
+      Now - this->Outgoing.ProgressAt > ForwardServer::WriteStallTime;
+  if (!Stalled && Now <= this->WriteBy) {
+    return;
+  }
+  ++(Stalled ? this->Server->Counters.WritesStalled
+             : this->Server->Counters.WritesTooLate);
+  this->close();
+}
+
+void ForwardSession::closeForMemory() {
+  if (this->heldBytes() == 0) {
+    return; // Its message has ended since it was chosen.
+  }
+  ++this->Server->Counters.ClosedForMemory;
+  this->onEnd();
+}
+
 void ForwardSession::enter(SessionPhase Next) {
   this->Phase = Next;
   this->PhaseSince = base::Clock::now();
--- a/src/net/forward_session_base.h
+++ b/src/net/forward_session_base.h
@@ -2,6 +2,7 @@
 #define HICKORYCRANK_NET_FORWARD_SESSION_BASE_H
 
 #include "net/forward_server_base.h"
+#include "net/message_write_func.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -31,6 +32,7 @@
   std::unordered_set<std::shared_ptr<ForwardSession>> Sessions;
   std::unordered_map<ForwardToken, ForwardSession *> Waiting;
   ForwardServerCounters Counters;
+  std::shared_ptr<limits::MemoryLedger> Ledger; ///< May be nullptr.
 };
 
 /** Phase of a caller's connection. */
@@ -59,13 +61,19 @@
 
   /** Begins to read. */
   void start();
-  /** Writes a response. @param Response The response. */
-  void respond(ForwardResponse &&Response);
+  /** Writes a response.
+   * @param Response The response.
+   * @param TimeLeft Time until the caller's deadline. */
+  void respond(ForwardResponse &&Response, base::Duration TimeLeft);
   /** Closes the connection if it is idle. */
   void closeIfIdle();
   /** Closes the connection if it is slow or idle for too long.
    * @param Now Current time. */
   void sweep(base::TimePoint Now);
+  /** Closes the connection because it holds too much. */
+  void closeForMemory();
+  /** @return Bytes of the request and of the response that it holds. */
+  uint64_t heldBytes() const { return this->Held.bytes(); }
 
 private:
   using Parser =
@@ -76,7 +84,9 @@
   void parse();
   void dispatch();
   void reject(unsigned Status);
-  void write(ForwardResponse &&Response);
+  void write(ForwardResponse &&Response, base::Duration TimeLeft);
+  void sweepWrite(base::TimePoint Now);
+  void countHeld();
   void onWritten(bool Keep);
   void onEnd();
   void close();
@@ -89,7 +99,10 @@
   boost::beast::flat_buffer Buffer;
   std::array<char, 4096> Chunk;
   std::optional<Parser> Current;
-  std::optional<ForwardResponse> Outgoing;
+  MessageWrite<false> Outgoing;
+  base::TimePoint WriteBy;   ///< When the response is given up.
+  uint64_t RequestBytes = 0; ///< Received of the current request.
+  limits::HeldBytes Held;
   ForwardToken Token = 0;
   bool KeepAlive = true;
   bool ContinueSent = false;
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
-#include <boost/beast/http/write.hpp>
 #include <utility>
 
 namespace hickorycrank::net {
@@ -48,7 +47,7 @@
                                        UpstreamPool &Owner,
                                        forward::ServerKey Server)
     : Socket(Context), Owner(Owner), Server(Server), PhaseSince(Clock::now()),
-      KeepAlive(DefaultKeepAlive) {}
+      KeepAlive(DefaultKeepAlive), Held(Owner.Ledger) {}
 
 bool UpstreamConnection::open(const std::string &Address,
                               std::optional<UpstreamAttempt> First) {
@@ -102,25 +101,31 @@
   this->resetReceived();
   this->CarriedIds.push_back(this->Current->Source->IdHash);
   const forward::SendAttempt &Order = this->Current->Order;
-  this->Outgoing = this->Current->Source->Message;
+  auto &Message = this->Outgoing.Content;
+  Message = this->Current->Source->Message;
   auto Left =
       std::chrono::duration_cast<std::chrono::milliseconds>(Order.Remaining);
-  this->Outgoing.set(this->Owner.Names.Remaining,
-                     std::to_string(std::max<int64_t>(1, Left.count())));
-  this->Outgoing.set(this->Owner.Names.ExpectedServer, Order.ServerId.Value);
+  Message.set(this->Owner.Names.Remaining,
+              std::to_string(std::max<int64_t>(1, Left.count())));
+  Message.set(this->Owner.Names.ExpectedServer, Order.ServerId.Value);
   if (!this->Current->RelayTried.empty()) {
-    this->Outgoing.set(RelayTriedField, this->Current->RelayTried);
+    Message.set(RelayTriedField, this->Current->RelayTried);
+  }
+  startWrite(this->Socket, this->Outgoing,
+             [Self = this->shared_from_this()](beast::error_code Failure) {
+               Self->countHeld();
+               // A failed write also ends the pending read.
+               if (Failure && Self->Phase != UpstreamPhase::Closed) {
+                 Self->fail(forward::AttemptFailure::Broken);
+               }
+             });
+  this->countHeld();
+}
+
+void UpstreamConnection::countHeld() {
+  if (this->Phase != UpstreamPhase::Closed) {
+    this->Held.set(this->ReceivedBytes + this->Outgoing.heldBytes());
   }
-  this->WritePending = true;
-  http::async_write(
-      this->Socket, this->Outgoing,
-      [Self = this->shared_from_this()](beast::error_code Failure, size_t) {
-        Self->WritePending = false;
-        // A failed write also ends the pending read.
-        if (Failure && Self->Phase != UpstreamPhase::Closed) {
-          Self->fail(forward::AttemptFailure::Broken);
-        }
-      });
 }
 
 void UpstreamConnection::read() {
@@ -150,6 +155,7 @@
   }
   this->ReceivedBytes += Count;
   this->Owner.UnfinishedBytes += Count;
+  this->countHeld();
   if (this->isReplyTooLarge()) {
     this->failOversized();
     return;
@@ -178,8 +184,23 @@
   this->fail(forward::AttemptFailure::Broken);
 }
 
+void UpstreamConnection::failForMemory() {
+  if (this->heldBytes() == 0) {
+    return; // Its message has ended since it was chosen.
+  }
+  ++this->Owner.Counters.ClosedForMemory;
+  this->failUnfinished();
+}
+
+void UpstreamConnection::failUnfinished() {
+  bool Unsent = this->Outgoing.isPending() && this->Outgoing.WrittenBytes == 0;
+  this->fail(Unsent ? forward::AttemptFailure::NotSent
+                    : forward::AttemptFailure::Broken);
+}
+
 void UpstreamConnection::resetReceived() {
   this->Owner.UnfinishedBytes -= std::exchange(this->ReceivedBytes, 0);
+  this->countHeld();
 }
 
 void UpstreamConnection::parse(bool End) {
@@ -276,7 +297,7 @@
                 this->Incoming->get().end();
   return Echoed && this->Incoming->keep_alive() &&
          !this->Incoming->need_eof() && !this->SawForeign &&
-         !this->WritePending && !this->Retired &&
+         !this->Outgoing.isPending() && !this->Retired &&
          this->CarriedIds.size() < MaxCarriedIds;
 }
 
@@ -331,6 +352,7 @@
   }
   this->Phase = UpstreamPhase::Closed;
   this->resetReceived();
+  this->Held.set(0);
   beast::error_code Ignored; // The server may have closed it already.
   this->Socket.close(Ignored);
   this->Owner.closed(*this);
@@ -368,18 +390,27 @@
     }
     return false;
   case UpstreamPhase::Busy:
-    if (this->Abandoned && Now - this->AbandonedAt > DrainTime) {
-      ++this->Owner.Counters.AbandonedClosed;
-      this->fail(forward::AttemptFailure::Broken);
-      return true;
-    }
-    return false;
+    return this->sweepBusy(Now);
   case UpstreamPhase::Closed:
     return false;
   }
   return false;
 }
 
+bool UpstreamConnection::sweepBusy(base::TimePoint Now) {
+  if (this->Abandoned && Now - this->AbandonedAt > DrainTime) {
+    ++this->Owner.Counters.AbandonedClosed;
+    this->fail(forward::AttemptFailure::Broken);
+    return true;
+  }
+  if (this->Outgoing.isPending() &&
+      Now - this->Outgoing.ProgressAt > UpstreamPool::WriteStallTime) {
+    ++this->Owner.Counters.WritesStalled;
+    this->failUnfinished();
+  }
+  return false;
+}
+
 bool UpstreamConnection::isReusable(base::TimePoint Now,
                                     base::Duration MaxIdle) const {
   return this->Phase == UpstreamPhase::Idle && !this->Retired &&
--- a/src/net/upstream_connection_base.h
+++ b/src/net/upstream_connection_base.h
@@ -2,6 +2,8 @@
 #define HICKORYCRANK_NET_UPSTREAM_CONNECTION_BASE_H
 
 #include "base/time_type.h"
+#include "limits/memory_ledger_base.h"
+#include "net/message_write_func.h"
 #include "net/upstream_type.h"
 
 #include <array>
@@ -58,6 +60,9 @@
   /** Fails the attempt because its unfinished reply takes too much memory. */
   void failOversized();
 
+  /** Fails the attempt because all connections together hold too much. */
+  void failForMemory();
+
   /**
    * Closes what has waited for too long.
    * @param Now Current time.
@@ -74,6 +79,8 @@
   UpstreamPhase phase() const { return this->Phase; }
   /** @return Bytes received of the reply in progress. */
   uint64_t receivedBytes() const { return this->ReceivedBytes; }
+  /** @return Bytes of the request and of the reply that it holds. */
+  uint64_t heldBytes() const { return this->Held.bytes(); }
   /** @return The server. */
   forward::ServerKey server() const { return this->Server; }
   /** @param Now Current time. @param MaxIdle Longest idle time.
@@ -105,6 +112,9 @@
   bool mayStayOpen() const;
   forward::Reply takeReply(Parser &Received) const;
   void fail(forward::AttemptFailure Kind);
+  void failUnfinished();
+  bool sweepBusy(base::TimePoint Now);
+  void countHeld();
   void becomeIdle();
 
   boost::asio::ip::tcp::socket Socket;
@@ -115,14 +125,14 @@
   base::TimePoint AbandonedAt;
   bool Probe = false; ///< The owner is told whether it opens.
   bool Abandoned = false;
-  bool WritePending = false;
   uint64_t ReceivedBytes = 0; ///< Of the reply; part of UnfinishedBytes.
   bool SawForeign = false;    ///< A reply to another attempt was dropped.
   /** UpstreamRequest::IdHash of each request that was sent on it. */
   std::vector<uint64_t> CarriedIds;
   base::Duration KeepAlive; ///< Idle time that the server allows.
   std::optional<UpstreamAttempt> Current;
-  boost::beast::http::request<boost::beast::http::string_body> Outgoing;
+  MessageWrite<true> Outgoing;
+  limits::HeldBytes Held;
   boost::beast::flat_buffer Buffer;
   std::array<char, 4096> Chunk;
   std::optional<Parser> Incoming;
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -31,6 +31,21 @@
   }
 }
 
+void UpstreamPool::setLedger(std::shared_ptr<limits::MemoryLedger> Bound) {
+  this->Ledger = std::move(Bound);
+}
+
+void UpstreamPool::listHolders(std::vector<MemoryHolder> &Out) const {
+  for (const auto &[Key, Connections] : this->Open) {
+    for (const Connection &Entry : Connections) {
+      if (Entry->heldBytes() > 0) {
+        Out.push_back(
+            {Entry->heldBytes(), [Entry] { Entry->failForMemory(); }});
+      }
+    }
+  }
+}
+
 UpstreamPool::Connection UpstreamPool::takeIdle(const UpstreamAttempt &Next) {
   auto Found = this->Open.find(Next.Order.Server);
   if (Found == this->Open.end()) {
--- a/src/net/upstream_pool_base.h
+++ b/src/net/upstream_pool_base.h
@@ -1,6 +1,7 @@
 #ifndef HICKORYCRANK_NET_UPSTREAM_POOL_BASE_H
 #define HICKORYCRANK_NET_UPSTREAM_POOL_BASE_H
 
+#include "net/memory_holder_func.h"
 #include "net/upstream_connection_base.h"
 
 #include <list>
@@ -16,6 +17,10 @@
   /** Maximum size of the unfinished replies on all connections together; the
    * smallest instances have 380 MB of memory. */
   static constexpr uint64_t MaxUnfinishedBytes = 33'554'432;
+  /** Time without any progress after which the write of a request is given up.
+   * Servers pause for a fraction of it. */
+  static constexpr base::Duration WriteStallTime =
+      std::chrono::milliseconds(1'500);
   /** Period at which the owner calls sweep(). */
   static constexpr std::chrono::milliseconds SweepPeriod{25};
 
@@ -31,6 +36,14 @@
   UpstreamPool(const UpstreamPool &) = delete;
   UpstreamPool &operator=(const UpstreamPool &) = delete;
 
+  /** Counts what connections hold from now on; call it before send().
+   * @param Bound The ledger. */
+  void setLedger(std::shared_ptr<limits::MemoryLedger> Bound);
+
+  /** Appends the connections that hold bytes of requests or replies.
+   * @param Out Valid as long as the pool. */
+  void listHolders(std::vector<MemoryHolder> &Out) const;
+
   /** Sends an attempt on an open or a new connection.
    * @param Next The attempt. */
   void send(UpstreamAttempt Next);
@@ -87,7 +100,8 @@
   UpstreamCallbacks Handlers;
   std::unordered_map<forward::ServerKey, std::vector<Connection>> Open;
   UpstreamCounters Counters;
-  uint64_t UnfinishedBytes = 0; ///< Sum over all connections.
+  std::shared_ptr<limits::MemoryLedger> Ledger; ///< May be nullptr.
+  uint64_t UnfinishedBytes = 0;                 ///< Sum over all connections.
 };
 
 } // namespace hickorycrank::net
--- a/src/net/upstream_type.h
+++ b/src/net/upstream_type.h
@@ -67,6 +67,8 @@
   uint64_t SurplusBytes = 0;     ///< Connections closed because of them.
   uint64_t OversizedReplies = 0; ///< Connections closed because of them.
   uint64_t AbandonedClosed = 0;  ///< Abandoned attempts without reply in time.
+  uint64_t WritesStalled = 0;    ///< Servers that took no byte for too long.
+  uint64_t ClosedForMemory = 0;  ///< Connections that held too much.
 };
 
 } // namespace hickorycrank::net
