Bound the request bodies at one server

Cause: a server ends if the requests that it holds exceed its memory. Only their number was limited, by the connections.

Change: an instance has at most four bodies of the published largest size at one server (256 KiB where that is small); a server without room is passed over like one whose connections are in use. Any body may go to a server that has none of this instance. Requests without a body are not affected.

--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -246,6 +246,7 @@
       remainingTime(Request, this->Dialect.Headers).value_or(DefaultRemaining);
   NewCall.Remaining = CallDetails.Remaining;
   CallDetails.Content = requestFingerprint(Request);
+  CallDetails.BodyBytes = Request.body().size();
   CallDetails.Relayed = Origin.Server == &this->RelayServer;
   if (CallDetails.Relayed) {
     auto Tried = Request[net::RelayTriedField];
--- a/src/forward/call_type.h
+++ b/src/forward/call_type.h
@@ -33,6 +33,7 @@
   std::string_view Target; ///< Request target; valid only during onRequest().
   base::Duration Remaining{}; ///< Time until the caller's deadline.
   base::Fingerprint Content;  ///< Hash that is equal for identical requests.
+  uint64_t BodyBytes = 0;     ///< Size of its body.
   /** Another instance has relayed it; it is not relayed again. */
   bool Relayed = false;
   /** Servers at which that instance has tried it; they count towards the
@@ -180,6 +181,7 @@
   base::TimePoint Deadline;
   base::TimePoint NextWake = base::TimePoint::max();
   base::Fingerprint Content;
+  uint64_t BodyBytes = 0; ///< Size of the request's body.
   /** First attempts are held back for a limited time while the server's queue
    * is long; see findDeferrable(). */
   bool Deferrable = false;
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -104,6 +104,7 @@
   CurrentCall.MatchedRoute = MatchedRoute;
   CurrentCall.ArrivedAt = Now;
   CurrentCall.Content = Request.Content;
+  CurrentCall.BodyBytes = Request.BodyBytes;
   CurrentCall.Relayed = Request.Relayed;
   this->Counters.RelaysReceived += Request.Relayed ? 1 : 0;
   CurrentCall.Deferrable =
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -1,5 +1,6 @@
 #include "forward/engine_base.h"
 #include "forward/replica_func.h"
+#include "limits/server_memory_func.h"
 
 #include <algorithm>
 #include <utility>
@@ -70,6 +71,11 @@
              CrashShare * static_cast<double>(CurrentCall.Parts.size());
 }
 
+/** @return Limit of the request bodies at one server, in bytes. */
+uint64_t maxBodyBytes(const Call &CurrentCall) {
+  return limits::maxBodyBytesAtServer(CurrentCall.Table->Limits.MaxBodyBytes);
+}
+
 } // namespace
 
 Duration Engine::typicalLatency(const Route &MatchedRoute) {
@@ -155,6 +161,8 @@
   Criteria.Idempotent = CurrentCall.MatchedRoute->Idempotent;
   // A hedge would use up the rate that first attempts need.
   Criteria.WithoutRateLimit = Choice == ServerChoice::ForHedge;
+  Criteria.BodyBytes = CurrentCall.BodyBytes;
+  Criteria.MaxBodyBytes = maxBodyBytes(CurrentCall);
   return chooseReplica(*CurrentPart.Pool, Criteria, this->Generator);
 }
 
@@ -167,15 +175,18 @@
                ? Untried
                : this->choose(Now, CurrentCall, CurrentPart, ServerChoice::Any);
   }
-  return this->chooseTried(Now, CurrentPart);
+  return this->chooseTried(Now, CurrentCall, CurrentPart);
 }
 
-Server *Engine::chooseTried(TimePoint Now, const Part &CurrentPart) {
+Server *Engine::chooseTried(TimePoint Now, const Call &CurrentCall,
+                            const Part &CurrentPart) {
   Server *Last = nullptr;
   auto Consider = [&](Server *Tried) {
     if (Tried != nullptr && Tried->Entry.Service == CurrentPart.Pool->Service &&
         !Tried->Entry.Leaving && !Tried->Misdirected &&
-        acceptsAt(Now, *Tried, this->Instances) <= Now) {
+        acceptsAt(Now, *Tried, this->Instances) <= Now &&
+        hasRoomForBody(*Tried, CurrentCall.BodyBytes,
+                       maxBodyBytes(CurrentCall))) {
       Last = Tried;
     }
   };
@@ -264,7 +275,8 @@
   CurrentPart.Phase = PartPhase::InFlight;
   CurrentPart.WakeAt = Now + this->hedgeDelay(*CurrentCall.MatchedRoute);
   Backend.Outstanding.push_back(
-      {Ref, Now, this->typicalLatency(*CurrentCall.MatchedRoute)});
+      {Ref, Now, this->typicalLatency(*CurrentCall.MatchedRoute),
+       CurrentCall.BodyBytes});
   if (Backend.RateLimit) {
     limits::takeTurn(*Backend.RateLimit, Now, this->Instances);
   }
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -286,7 +286,8 @@
                            const Part &CurrentPart);
   /** @return A server that may already have the part and may get it again, or
    * nullptr. */
-  Server *chooseTried(base::TimePoint Now, const Part &CurrentPart);
+  Server *chooseTried(base::TimePoint Now, const Call &CurrentCall,
+                      const Part &CurrentPart);
   void waitForServer(base::TimePoint Now, Call &CurrentCall, Part &CurrentPart);
   static bool isWaitTooLong(base::TimePoint Until, const Call &CurrentCall);
   void startAttempt(base::TimePoint Now, Call &CurrentCall, uint32_t Index,
--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -1,5 +1,7 @@
 #include "forward/replica_func.h"
 
+#include "limits/server_memory_func.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -137,6 +139,7 @@
 bool isCandidate(const Server &Backend, const ReplicaCriteria &Criteria) {
   return isUsable(Backend) && isWithinRateLimit(Backend, Criteria) &&
          Backend.Outstanding.size() < Criteria.MaxOutstanding &&
+         hasRoomForBody(Backend, Criteria.BodyBytes, Criteria.MaxBodyBytes) &&
          std::find(Criteria.Avoid.begin(), Criteria.Avoid.end(), Backend.Key) ==
              Criteria.Avoid.end();
 }
@@ -191,6 +194,18 @@
              : Now;
 }
 
+bool hasRoomForBody(const Server &Backend, uint64_t BodyBytes,
+                    uint64_t MaxBodyBytes) {
+  if (BodyBytes == 0) {
+    return true;
+  }
+  uint64_t Sum = 0;
+  for (const OutstandingAttempt &Entry : Backend.Outstanding) {
+    Sum += Entry.BodyBytes;
+  }
+  return limits::fitsAtServer(Sum, BodyBytes, MaxBodyBytes);
+}
+
 Duration expectedTime(TimePoint Now, const Server &Backend,
                       Duration TypicalLatency) {
   return base::fromMilliseconds(expectedMs(Now, Backend, TypicalLatency));
--- a/src/forward/replica_func.h
+++ b/src/forward/replica_func.h
@@ -23,6 +23,8 @@
   bool Idempotent = false;
   /** Skips servers that state a rate limit. */
   bool WithoutRateLimit = false;
+  uint64_t BodyBytes = 0;    ///< Size of the request's body.
+  uint64_t MaxBodyBytes = 0; ///< At one server; see hasRoomForBody().
 };
 
 /** Age of an attempt without a reply at which its server counts as silent;
@@ -50,6 +52,17 @@
 Server *chooseReplica(const ServicePool &Pool, const ReplicaCriteria &Criteria,
                       base::Random &Generator);
 
+/**
+ * Checks whether a request body fits beside those that a server may hold for
+ * this instance.
+ * @param Backend The server.
+ * @param BodyBytes Size of the body.
+ * @param MaxBodyBytes Limit of the sum; see limits::maxBodyBytesAtServer().
+ * @return Whether it fits.
+ */
+bool hasRoomForBody(const Server &Backend, uint64_t BodyBytes,
+                    uint64_t MaxBodyBytes);
+
 /**
  * Estimates the reply time from the server's load and speed.
  * @param Now Current time.
--- a/src/forward/server_type.h
+++ b/src/forward/server_type.h
@@ -56,6 +56,7 @@
   AttemptRef Ref;
   base::TimePoint SentAt;
   base::Duration Expected{}; ///< Typical latency of its route.
+  uint64_t BodyBytes = 0;    ///< Size of the request's body.
 };
 
 /** A backend server and this instance's observations of it. */
