--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -113,6 +113,7 @@
   auto Filter = this->Filters.find(MatchedRoute);
   CurrentCall.Allowed =
       Filter == this->Filters.end() ? nullptr : Filter->second;
+  CurrentCall.BodyBytes = Request.BodyBytes;
   CurrentCall.Relayed = Request.Relayed;
   this->Counters.RelaysReceived += Request.Relayed ? 1 : 0;
   CurrentCall.Deferrable =
--- a/src/forward/replica_func.h
+++ b/src/forward/replica_func.h
@@ -25,6 +25,8 @@
   DomainFilter Allowed; ///< Failure domains that the route allows.
   /** Skips servers that state a rate limit. */
   bool WithoutRateLimit = false;
+  uint64_t BodyBytes = 0;    ///< Size of the request's body.
+  uint64_t MaxBodyBytes = 0; ///< At one server; see hasRoomForBody().
 };
 
 /** Age of an attempt without a reply at which its server counts as silent;
@@ -52,6 +54,17 @@
 Server *chooseReplica(const ServicePool &Pool, const ReplicaCriteria &Criteria,
                       base::Random &Generator);
 
+/**
+ * Checks whether a request body fits beside those that a server may hold for
+ * this instance.
+ * @param Backend The server.
+ * @param BodyBytes Size of the body.
+ * @param MaxBodyBytes Limit of the sum; see limits::maxBodyBytesAtServer().
+ * @return Whether it fits.
+ */
+bool hasRoomForBody(const Server &Backend, uint64_t BodyBytes,
+                    uint64_t MaxBodyBytes);
+
 /**
  * Estimates the reply time from the server's load and speed.
  * @param Now Current time.
