Add the shared limit of a cold server

A cold server accepts a stated rate from all instances together, with a tolerance in any one second. The existing share of a rate limit spreads random turns and keeps its tolerance over four seconds on average, which is not enough here.

cold_share lets the first k instances in a hash order send, spaced so that the tolerated number holds in any second at any phases.

--- a/src/config/gateway_settings_type.h
+++ b/src/config/gateway_settings_type.h
@@ -3,6 +3,7 @@
 
 #include "base/id_type.h"
 #include "config/settings_type.h"
+#include "limits/cold_share_func.h"
 #include "limits/shared_budget_base.h"
 
 #include <chrono>
@@ -13,13 +14,6 @@
 
 namespace hickorycrank::config {
 
-/** Tolerance around the rate that a cold server accepts: in one second it may
- * get Overshoot times that rate and Slack more, from all instances together. */
-struct ColdLimits {
-  double Overshoot = 1;
-  double Slack = 0; ///< In requests.
-};
-
 /** Resources of this instance; 0 stands for one that the settings do not name.
  */
 struct InstanceSize {
@@ -47,7 +41,7 @@
   std::chrono::milliseconds ChangeBound{3'000};
   /** Region of each failure domain; empty if the settings name none. */
   std::map<base::FailureDomainId, std::string> Regions;
-  ColdLimits Cold;
+  limits::ColdLimits Cold;
   InstanceSize Size;
 };
 
