--- a/src/daemon/fleet_node_base.h
+++ b/src/daemon/fleet_node_base.h
@@ -112,6 +112,11 @@
   size_t instances(base::TimePoint Now) const {
     return this->Members.countInstances(Now);
   }
+  /** @param Now Current time. @return The instances that may send requests to
+   * cold servers. */
+  limits::ColdMembers coldMembers(base::TimePoint Now) {
+    return this->Members.coldMembers(Now);
+  }
   /** @return The counters. */
   const FleetCounters &counters() const { return this->Counters; }
 
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -65,10 +65,13 @@
     : OwnAddress(std::move(OwnAddress)), Domain(std::move(Domain)),
       StartedAt(Now), Generator(RandomSeed),
       HeartbeatTimeout(HeartbeatPeriod * MissedHeartbeats + HeartbeatMargin),
-      NoReaderSince(Now) {}
+      Senders(Now), NoReaderSince(Now) {}
 
 void Roster::setSeedAddresses(std::vector<std::string> Addresses) {
   this->SeedAddresses = std::move(Addresses);
+  for (const std::string &Address : this->SeedAddresses) {
+    this->Senders.record(this->StartedAt, Address, false);
+  }
 }
 
 void Roster::onHeartbeat(base::TimePoint Now, const Heartbeat &Received) {
@@ -78,13 +81,16 @@
   this->UnconfirmedAddresses.erase(Received.Address);
   if (Received.Leaving) {
     this->Peers.erase(Received.Address);
+    this->Senders.recordLeaving(Now, Received.Address);
     return;
   }
+  this->Senders.record(Now, Received.Address, true);
   Peer &Sender = this->Peers[Received.Address];
   Sender.LastHeartbeat = Received;
   Sender.LastHeardAt = Now;
   for (const std::string &Address : Received.Peers) {
     if (Address != this->OwnAddress && this->Peers.count(Address) == 0) {
+      this->Senders.record(Now, Address, false);
       this->UnconfirmedAddresses.try_emplace(Address, Now);
     }
   }
--- a/src/fleet/roster_base.h
+++ b/src/fleet/roster_base.h
@@ -4,6 +4,7 @@
 #include "base/random_base.h"
 #include "base/time_type.h"
 #include "fleet/fleet_type.h"
+#include "fleet/sender_memory_base.h"
 #include "fleet/view_freshness_type.h"
 
 #include <map>
@@ -67,6 +68,16 @@
    */
   size_t countInstances(base::TimePoint Now) const;
 
+  /**
+   * Lists the instances that may send requests to cold servers; call it at
+   * least every second.
+   * @param Now Current time.
+   * @return The instances.
+   */
+  limits::ColdMembers coldMembers(base::TimePoint Now) {
+    return this->Senders.members(Now, this->OwnAddress);
+  }
+
   /**
    * Chooses a live instance with the newest view, if that is newer than the own
    * one. Instances of the own failure domain are preferred. The choice is
@@ -173,6 +184,7 @@
   base::Duration HeartbeatTimeout;
   std::string LastTarget; ///< Own failure domain's last target.
   std::map<std::string, Peer> Peers;
+  SenderMemory Senders;
   /** Addresses learnt from heartbeats of others, with the time when they were
    * learnt. No heartbeat has arrived from them yet. */
   std::map<std::string, base::TimePoint> UnconfirmedAddresses;
