Limit and weigh cold servers

Cause: a server that is cold accepts a stated rate from all instances together and may crash above it; the engine knew only that it is slower, and only from the entry that first listed it.

Cold time is taken from entries when they change, from replies at any moment and, for a server that starts during operation and states none, from its service. Turns at cold servers go through acceptsAt(), so waiting, omitting and refusing are those of stated rate limits; hedges skip limited cold servers. The execution time that a machine states multiplies the estimate (0.5 to 5, half-life 100 ms) and is divided out of observed latencies, as is the slowness of a cold server. Without a rate and without statements nothing changes.

Metrics cold_servers and parts_cold_limited_total, log lines server.cold and server.warm at the limited rate of other events.

--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -35,6 +35,7 @@
   forward::EngineOptions Options;
   Options.Domain = Settings.Domain;
   Options.Extra = Settings.Extra;
+  Options.Cold = Settings.Cold;
   return Options;
 }
 
@@ -176,6 +177,7 @@
         this->Engine.probeServers(suspendAwareNow(), Actions);
         this->executeActions(std::move(Actions));
         this->Engine.onInstances(this->Fleet->instances(Event.Now));
+        this->Engine.onColdMembers(this->Fleet->coldMembers(Event.Now));
       });
   this->Timers.subscribe(TickPeriod, [this](const base::Tick &Event) {
     if (this->Fleet->pullNewerView(Event.Now, this->View.lastChange(),
@@ -294,6 +296,8 @@
       this->Upstream.retire(Gone->Server);
     } else if (auto *Limit = std::get_if<forward::LogRateLimit>(&Action)) {
       this->execute(*Limit);
+    } else if (auto *Cold = std::get_if<forward::LogColdState>(&Action)) {
+      this->execute(*Cold);
     } else if (auto *Relayed = std::get_if<forward::RelayRequest>(&Action)) {
       this->execute(*Relayed);
     } else if (auto *Ended = std::get_if<forward::CancelRelay>(&Action)) {
@@ -479,10 +483,12 @@
 void Gateway::reload(const config::GatewaySettings &Changed) {
   this->Settings.Seeds = Changed.Seeds;
   this->Settings.Extra = Changed.Extra;
+  this->Settings.Cold = Changed.Cold;
   this->Settings.Grace = Changed.Grace;
   this->Settings.ChangeBound = Changed.ChangeBound;
   this->Reader->setTiming(fleet::makeReadTiming(Changed.ChangeBound));
   this->Engine.setExtraLimits(Changed.Extra);
+  this->Engine.setColdLimits(Changed.Cold);
   this->Fleet->setSeeds(Changed.Seeds);
   logEvent(LogLevel::Info, "gateway.reloaded",
            {{"seeds", std::to_string(Changed.Seeds.size())}});
--- a/src/daemon/gateway_base.h
+++ b/src/daemon/gateway_base.h
@@ -103,6 +103,7 @@
   void execute(const forward::SendAttempt &Send);
   void execute(const forward::RelayRequest &Request);
   void execute(const forward::LogRateLimit &Limit);
+  void execute(const forward::LogColdState &State);
   void execute(const forward::LogReachability &Links);
   void respond(const forward::RespondCall &Outcome);
   void logResult(const Pending &Ended, const forward::RespondCall &Outcome,
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -6,6 +6,7 @@
 #include "net/fleet_codec_func.h"
 
 #include <charconv>
+#include <cmath>
 #include <sstream>
 #include <utility>
 
@@ -194,6 +195,16 @@
   Call.Respond(std::move(Response));
 }
 
+void Gateway::execute(const forward::LogColdState &State) {
+  bool Cold = State.Remaining > base::Duration::zero();
+  this->EventLog.log(
+      Clock::now(), LogLevel::Info, Cold ? "server.cold" : "server.warm",
+      {{"server", State.ServerId.Value},
+       {"remaining_ms",
+        std::to_string(std::lround(base::toMilliseconds(State.Remaining)))},
+       {"per_second", std::to_string(State.PerSecond)}});
+}
+
 std::string Gateway::renderMetrics() const {
   std::ostringstream Text;
   auto Add = [&Text](const std::string &Name, double Value,
@@ -224,6 +235,9 @@
   Count("connection_probes", EngineCounters.Probes);
   Count("late_replies", EngineCounters.LateReplies);
   Count("rate_limit_replies", EngineCounters.RateLimitReplies);
+  Count("parts_cold_limited", EngineCounters.ColdLimited);
+  Add("cold_servers",
+      static_cast<double>(this->Engine.coldServers(suspendAwareNow())));
   Count("relays", EngineCounters.Relays);
   Count("relays_failed", EngineCounters.RelaysFailed);
   Count("relays_received", EngineCounters.RelaysReceived);
--- a/src/forward/action_type.h
+++ b/src/forward/action_type.h
@@ -74,10 +74,17 @@
   std::optional<double> PerSecond; ///< Nothing if it no longer states one.
 };
 
+/** Log that a server has become cold or warm. */
+struct LogColdState {
+  base::ServerId ServerId;
+  base::Duration Remaining{}; ///< Zero if it is warm.
+  double PerSecond = 0;       ///< Its rate while cold; 0 if not limited.
+};
+
 using Action =
     std::variant<SendAttempt, AbandonAttempt, RespondCall,
                  CloseServerConnections, ProbeConnection, LogRateLimit,
-                 RelayRequest, CancelRelay, LogReachability>;
+                 RelayRequest, CancelRelay, LogReachability, LogColdState>;
 using Actions = std::vector<Action>;
 
 } // namespace hickorycrank::forward
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -53,8 +53,12 @@
   }
   this->Table = std::move(Table);
   for (const auto &[Name, Spec] : this->Table->Services) {
-    this->Servers.pool(Name).MaxConnections = Spec.MaxConnections;
+    ServicePool &Pool = this->Servers.pool(Name);
+    Pool.MaxConnections = Spec.MaxConnections;
+    Pool.ColdTime = Spec.ColdTime;
+    Pool.ColdRate = Spec.ColdRate;
   }
+  this->refreshColdShares();
   std::set<std::string_view> Names;
   for (const Route &Known : this->Table->Routes) {
     Names.insert(Known.Name);
@@ -73,6 +77,7 @@
   for (ServerKey Ended : this->Servers.apply(Now, Entries)) {
     Out.push_back(CloseServerConnections{Ended});
   }
+  this->updateColdStates(Now, Out);
 }
 
 void Engine::onInstances(size_t Instances) {
@@ -187,6 +192,7 @@
     }
     this->probe(*Backend, Out);
   }
+  this->updateColdStates(Now, Out);
   this->updateReachability(Now, Out);
 }
 
--- a/src/forward/engine_admission.cpp
+++ b/src/forward/engine_admission.cpp
@@ -75,7 +75,8 @@
   for (Part &Entry : CurrentCall.Parts) {
     auto Unreachable = unreachableUntil(Now, *Entry.Pool);
     auto Limited = rateLimitedUntil(Now, *Entry.Pool, this->Instances);
-    Entry.RateLimited = Limited && isWaitTooLong(*Limited, CurrentCall);
+    this->setRateLimited(Now, Entry,
+                         Limited && isWaitTooLong(*Limited, CurrentCall));
     Unreachables += Unreachable ? 1 : 0;
     if (!hasUsableReplica(*Entry.Pool) || Entry.RateLimited ||
         (Unreachable && CurrentCall.MatchedRoute->fansOut())) {
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -1,3 +1,4 @@
+#include "forward/cold_state_func.h"
 #include "forward/engine_base.h"
 #include "forward/replica_func.h"
 
@@ -202,7 +203,7 @@
       distinctServers(CurrentPart) < CurrentCall.MatchedRoute->MaxAttempts &&
       hasUsableReplica(*CurrentPart.Pool);
   auto Limited = rateLimitedUntil(Now, *CurrentPart.Pool, this->Instances);
-  CurrentPart.RateLimited = Limited.has_value();
+  this->setRateLimited(Now, CurrentPart, Limited.has_value());
   if (!MayBecomeAvailable ||
       (Limited && isWaitTooLong(*Limited, CurrentCall))) {
     CurrentPart.Phase = PartPhase::Failed;
@@ -268,6 +269,9 @@
   if (Backend.RateLimit) {
     limits::takeTurn(*Backend.RateLimit, Now, this->Instances);
   }
+  if (isColdLimited(Now, Backend)) {
+    limits::takeColdTurn(*Backend.ColdShare, Now);
+  }
   this->Links.recordAttempt(Now);
   ++this->Counters.Attempts;
   Out.push_back(SendAttempt{Ref, Backend.Key, Backend.Entry.Id,
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -22,6 +22,7 @@
 struct EngineOptions {
   base::FailureDomainId Domain; ///< Of this instance.
   limits::ExtraAttemptLimits Extra;
+  limits::ColdLimits Cold = {};
 };
 
 /** Counters of an engine; never reset. */
@@ -45,6 +46,7 @@
   uint64_t Probes = 0;
   uint64_t LateReplies = 0;      ///< Of abandoned attempts.
   uint64_t RateLimitReplies = 0; ///< Replies that state a rate limit.
+  uint64_t ColdLimited = 0;      ///< Parts held back or omitted by cold limits.
   uint64_t Relays = 0;           ///< Calls passed on to other instances.
   uint64_t RelaysFailed = 0;     ///< Without an answer of backend servers.
   uint64_t RelaysReceived = 0;   ///< Calls passed on by other instances.
@@ -89,6 +91,13 @@
    */
   void onInstances(size_t Instances);
 
+  /**
+   * Replaces the list of instances that may send requests to cold servers.
+   * Until the first list has settled, cold servers with a limit get none.
+   * @param Members The instances.
+   */
+  void onColdMembers(limits::ColdMembers Members);
+
   /**
    * Replaces the list of instances that accept relays.
    * @param Entries The other instances.
@@ -130,6 +139,9 @@
   /** @return Whether this instance appears to reach backend servers. */
   bool reachesServers() const { return !this->Links.isLost(); }
 
+  /** Changes the tolerance of cold servers. @param Limits The tolerance. */
+  void setColdLimits(const limits::ColdLimits &Limits);
+
   /** Changes the limits on extra attempts. @param Extra Limits for all
    * instances together. */
   void setExtraLimits(const limits::ExtraAttemptLimits &Extra) {
@@ -242,6 +254,8 @@
   size_t observedRoutes() const { return this->Latencies.size(); }
   /** @return Number of calls without a final answer. */
   size_t callsInProgress() const { return this->Calls.size(); }
+  /** @param Now Current time. @return Number of servers that are cold. */
+  size_t coldServers(base::TimePoint Now) const;
   /** @return Number of listed servers. */
   size_t servers() const { return this->Servers.size(); }
   /** @return Record of requests that crash backend servers. */
@@ -312,6 +326,15 @@
   void handleErrorReply(base::TimePoint Now, Call &CurrentCall,
                         const AttemptRef &Ref, Reply &&Received, Actions &Out);
 
+  // Cold servers (engine_cold.cpp).
+  void refreshColdShare(Server &Backend);
+  void refreshColdShares();
+  /** Starts the share of a server that has become cold, and logs changes. */
+  void updateColdState(base::TimePoint Now, Server &Backend, Actions &Out);
+  void updateColdStates(base::TimePoint Now, Actions &Out);
+  /** Sets whether all servers of a part have reached their rate limits. */
+  void setRateLimited(base::TimePoint Now, Part &Limited, bool RateLimited);
+
   // Relays through other instances (engine_relay.cpp).
   void updateReachability(base::TimePoint Now, Actions &Out);
   /** @return Whether the call lacks servers that a peer may reach. */
@@ -354,6 +377,7 @@
   PeerSet Peers;
   Reachability Links;
   size_t Instances = 1;
+  limits::ColdMembers Members;
   CrashRecord Crashes;
   EngineCounters Counters;
   std::unordered_map<uint64_t, std::unique_ptr<Call>> Calls;
--- a/src/forward/engine_replies.cpp
+++ b/src/forward/engine_replies.cpp
@@ -1,3 +1,4 @@
+#include "forward/cold_state_func.h"
 #include "forward/engine_base.h"
 #include "forward/merge_func.h"
 #include "forward/replica_func.h"
@@ -47,6 +48,10 @@
     AttemptOutcome Outcome = Rejected   ? AttemptOutcome::Shed
                              : ServerOk ? AttemptOutcome::Succeeded
                                         : AttemptOutcome::Failed;
+    // The statement explains the latency of this reply.
+    if (Received.Load && !Received.Misdirected) {
+      recordStatedWork(Now, *Backend, *Received.Load);
+    }
     recordAttemptEnd(Now, *Backend, Ref, Outcome);
     Backend->Misdirected = Backend->Misdirected || Received.Misdirected;
     // A misdirected reply is from another server.
@@ -85,6 +90,10 @@
   if (Received.Load) {
     recordLoad(Now, Backend, *Received.Load);
   }
+  if (Received.ColdRemaining) {
+    recordCold(Now, Backend, *Received.ColdRemaining);
+    this->updateColdState(Now, Backend, Out);
+  }
   this->Counters.RateLimitReplies += Received.RateLimit ? 1 : 0;
   std::optional<double> Before;
   if (Backend.RateLimit) {
--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -1,5 +1,7 @@
 #include "forward/replica_func.h"
 
+#include "forward/cold_state_func.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -27,8 +29,6 @@
  * factor that keeps traffic local while local servers are about as fast. */
 constexpr double OtherDomainMs = 3;
 constexpr double OtherDomainFactor = 1.25;
-/** Latency factor of a server that has just started. */
-constexpr double ColdFactor = 1.6;
 /** A server is considered stalled if an attempt exceeds its typical latency by
  * this factor plus this margin. The factor is also the latency ratio above
  * which OutlierSmoothing applies. */
@@ -82,7 +82,7 @@
   double Result =
       toMilliseconds(TypicalLatency) *
       std::max(MinLatencyFactor, decayTowards(Backend.LatencyFactor, 1, Age));
-  return Now < Backend.ColdUntil ? Result * ColdFactor : Result;
+  return Result * statedSlowness(Now, Backend);
 }
 
 double slotCount(const Server &Backend) {
@@ -128,7 +128,8 @@
 }
 
 bool isWithinRateLimit(const Server &Backend, const ReplicaCriteria &Criteria) {
-  if (Backend.RateLimit && Criteria.WithoutRateLimit) {
+  bool Limited = Backend.RateLimit || isColdLimited(Criteria.Now, Backend);
+  if (Limited && Criteria.WithoutRateLimit) {
     return false;
   }
   return acceptsAt(Criteria.Now, Backend, Criteria.Instances) <= Criteria.Now;
@@ -175,6 +176,7 @@
   double Ratio = toMilliseconds(Now - Ended.SentAt) / Expected;
   double Current =
       decayTowards(Backend.LatencyFactor, 1, Now - Backend.ObservedAt);
+  Ratio = withoutStatedSlowness(Ratio, statedSlowness(Now, Backend), Current);
   if (LowerBound && Ratio <= Current) {
     return;
   }
@@ -186,9 +188,10 @@
 } // namespace
 
 TimePoint acceptsAt(TimePoint Now, const Server &Backend, size_t Instances) {
-  return Backend.RateLimit
-             ? limits::nextTurn(*Backend.RateLimit, Now, Instances)
-             : Now;
+  TimePoint Warm = coldTurnAt(Now, Backend);
+  return Backend.RateLimit ? std::max(Warm, limits::nextTurn(*Backend.RateLimit,
+                                                             Now, Instances))
+                           : Warm;
 }
 
 Duration expectedTime(TimePoint Now, const Server &Backend,
--- a/src/forward/replica_func.h
+++ b/src/forward/replica_func.h
@@ -21,7 +21,7 @@
   /** Whether the request is idempotent. Only idempotent requests test a server
    * whose ejection has ended. */
   bool Idempotent = false;
-  /** Skips servers that state a rate limit. */
+  /** Skips servers that state a rate limit, or that are cold and limited. */
   bool WithoutRateLimit = false;
 };
 
@@ -98,7 +98,8 @@
                                                 const ServicePool &Pool);
 
 /**
- * Finds when a server accepts a request under the rate limit that it states.
+ * Finds when a server accepts a request under the rate limit that it states and
+ * the one that applies while it is cold.
  * @param Now Current time.
  * @param Backend The server.
  * @param Instances Number of instances that share the limit.
--- a/src/forward/server_set.cpp
+++ b/src/forward/server_set.cpp
@@ -1,5 +1,7 @@
 #include "forward/server_set_base.h"
 
+#include "forward/cold_state_func.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -45,8 +47,10 @@
       this->add(Now, Entry);
       continue;
     }
+    restateCold(Now, *Existing->second, Entry);
     Existing->second->Entry = std::move(Entry);
   }
+  this->FirstListed = this->FirstListed || !Entries.empty();
   std::vector<std::string> Unlisted;
   for (const auto &[Id, Entry] : this->ById) {
     if (Listed.count(Id) == 0) {
@@ -96,7 +100,10 @@
   auto Added = std::make_unique<Server>();
   Added->Key = ServerKey(this->NextKey++);
   Added->Entry = Entry;
-  Added->ColdUntil = Now + Entry.ColdRemaining;
+  // Servers of the first list may have started long ago.
+  startCold(Now, *Added,
+            this->FirstListed ? this->pool(Entry.Service).ColdTime
+                              : std::chrono::milliseconds(0));
   Added->ObservedAt = Now;
   Server &Result = *Added;
   this->ById[Entry.Id.Value] = &Result;
--- a/src/forward/server_set_base.h
+++ b/src/forward/server_set_base.h
@@ -17,6 +17,9 @@
   std::string Service;           ///< Name of the service.
   std::vector<Server *> Servers; ///< Currently listed servers.
   uint32_t MaxConnections = 8; ///< To each server, from all instances together.
+  /** Time for which a server is cold after its start. */
+  std::chrono::milliseconds ColdTime{0};
+  double ColdRate = 0; ///< Of a cold server, from all instances; 0: no limit.
   limits::SharedBudget Budget;
 };
 
@@ -80,6 +83,7 @@
   /** Entries are never erased, because calls hold pointers to pools. */
   std::unordered_map<std::string, ServicePool> Pools;
   std::unordered_map<std::string, Departure> Departures; ///< By id.
+  bool FirstListed = false; ///< A list with servers has been applied.
   uint64_t NextKey = 1;
 };
 
--- a/src/forward/server_type.h
+++ b/src/forward/server_type.h
@@ -3,6 +3,7 @@
 
 #include "base/id_type.h"
 #include "base/time_type.h"
+#include "limits/cold_share_func.h"
 #include "limits/rate_share_func.h"
 
 #include <chrono>
@@ -21,7 +22,9 @@
   base::FailureDomainId Domain;
   uint32_t Slots = 1;   ///< Requests that it executes at the same time.
   bool Leaving = false; ///< Receives no new requests.
-  std::chrono::milliseconds ColdRemaining{0}; ///< Remaining warm-up time.
+  /** Remaining time for which it is cold; nothing if the entry does not state
+   * it. */
+  std::optional<std::chrono::milliseconds> ColdRemaining;
   uint64_t StartedAt = 0; ///< Start of the process in Unix ms; 0 if unknown.
 };
 
@@ -64,6 +67,13 @@
   ServerEntry Entry;
   bool Misdirected = false; ///< Another server is using its address.
   base::TimePoint ColdUntil;
+  bool ColdByReply = false; ///< ColdUntil is what a reply stated.
+  bool ColdLogged = false;  ///< It was logged that it is cold.
+  /** This instance's share of the rate that it accepts while it is cold;
+   * nothing if its service states no such rate. */
+  std::optional<limits::ColdShare> ColdShare;
+  double WorkFactor = 1; ///< Last stated execution time, 1 as usual.
+  base::TimePoint WorkStatedAt;
   std::vector<OutstandingAttempt> Outstanding;
   double LatencyFactor = 1;   ///< Smoothed ratio to the typical latency.
   double SuccessRate = 1;     ///< Smoothed success rate of attempts.
