Merge the shared limit of cold servers

Conflicts with placement: a pause that a server asked for and a cold server's turn both delay acceptsAt(); counters and log actions of both stay.

--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -36,6 +36,7 @@
   Options.Domain = Settings.Domain;
   Options.Extra = Settings.Extra;
   Options.Regions = Settings.Regions;
+  Options.Cold = Settings.Cold;
   return Options;
 }
 
@@ -178,6 +179,7 @@
         this->Engine.probeServers(suspendAwareNow(), Actions);
         this->executeActions(std::move(Actions));
         this->Engine.onInstances(this->Fleet->instances(Event.Now));
+        this->Engine.onColdMembers(this->Fleet->coldMembers(Event.Now));
       });
   this->Timers.subscribe(TickPeriod, [this](const base::Tick &Event) {
     if (this->Fleet->pullNewerView(Event.Now, this->View.lastChange(),
@@ -299,6 +301,8 @@
       this->Upstream.retire(Gone->Server);
     } else if (auto *Limit = std::get_if<forward::LogRateLimit>(&Action)) {
       this->execute(*Limit);
+    } else if (auto *Cold = std::get_if<forward::LogColdState>(&Action)) {
+      this->execute(*Cold);
     } else if (auto *Relayed = std::get_if<forward::RelayRequest>(&Action)) {
       this->execute(*Relayed);
     } else if (auto *Ended = std::get_if<forward::CancelRelay>(&Action)) {
@@ -488,6 +492,7 @@
 void Gateway::reload(const config::GatewaySettings &Changed) {
   this->Settings.Seeds = Changed.Seeds;
   this->Settings.Extra = Changed.Extra;
+  this->Settings.Cold = Changed.Cold;
   this->Settings.Grace = Changed.Grace;
   this->Settings.ChangeBound = Changed.ChangeBound;
   this->Reader->setTiming(fleet::makeReadTiming(Changed.ChangeBound));
@@ -496,6 +501,7 @@
     this->Settings.Regions = Changed.Regions;
     this->Engine.setRegions(Changed.Regions);
   }
+  this->Engine.setColdLimits(Changed.Cold);
   this->Fleet->setSeeds(Changed.Seeds);
   logEvent(LogLevel::Info, "gateway.reloaded",
            {{"seeds", std::to_string(Changed.Seeds.size())}});
--- a/src/forward/action_type.h
+++ b/src/forward/action_type.h
@@ -81,10 +81,17 @@
   std::optional<std::chrono::milliseconds> RetryAfter;
 };
 
-using Action =
-    std::variant<SendAttempt, AbandonAttempt, RespondCall,
-                 CloseServerConnections, ProbeConnection, LogRateLimit,
-                 RelayRequest, CancelRelay, LogReachability, LogServerDeclines>;
+/** Log that a server has become cold or warm. */
+struct LogColdState {
+  base::ServerId ServerId;
+  base::Duration Remaining{}; ///< Zero if it is warm.
+  double PerSecond = 0;       ///< Its rate while cold; 0 if not limited.
+};
+
+using Action = std::variant<SendAttempt, AbandonAttempt, RespondCall,
+                            CloseServerConnections, ProbeConnection,
+                            LogRateLimit, RelayRequest, CancelRelay,
+                            LogReachability, LogServerDeclines, LogColdState>;
 using Actions = std::vector<Action>;
 
 } // namespace hickorycrank::forward
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -57,8 +57,12 @@
   }
   this->Table = std::move(Table);
   for (const auto &[Name, Spec] : this->Table->Services) {
-    this->Servers.pool(Name).MaxConnections = Spec.MaxConnections;
+    ServicePool &Pool = this->Servers.pool(Name);
+    Pool.MaxConnections = Spec.MaxConnections;
+    Pool.ColdTime = Spec.ColdTime;
+    Pool.ColdRate = Spec.ColdRate;
   }
+  this->refreshColdShares();
   std::set<std::string_view> Names;
   for (const Route &Known : this->Table->Routes) {
     Names.insert(Known.Name);
@@ -79,6 +83,7 @@
     Out.push_back(CloseServerConnections{Ended});
   }
   markEvacuated(this->Servers, this->Evacuated);
+  this->updateColdStates(Now, Out);
 }
 
 void Engine::onInstances(size_t Instances) {
@@ -198,6 +203,7 @@
     }
     this->probe(*Backend, Out);
   }
+  this->updateColdStates(Now, Out);
   this->updateReachability(Now, Out);
 }
 
--- a/src/forward/engine_admission.cpp
+++ b/src/forward/engine_admission.cpp
@@ -77,7 +77,8 @@
     auto Unreachable = unreachableUntil(Now, *Entry.Pool, CurrentCall.Allowed);
     auto Limited = rateLimitedUntil(Now, *Entry.Pool, this->Instances,
                                     CurrentCall.Allowed);
-    Entry.RateLimited = Limited && isWaitTooLong(*Limited, CurrentCall);
+    this->setRateLimited(Now, Entry,
+                         Limited && isWaitTooLong(*Limited, CurrentCall));
     Entry.PausedUntil = pausedUntil(Now, *Entry.Pool, CurrentCall.Allowed);
     Unreachables += Unreachable ? 1 : 0;
     if (!hasUsableReplica(*Entry.Pool, CurrentCall.Allowed) ||
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -1,3 +1,4 @@
+#include "forward/cold_state_func.h"
 #include "forward/engine_base.h"
 #include "forward/placement_func.h"
 #include "forward/replica_func.h"
@@ -216,7 +217,7 @@
       hasUsableReplica(*CurrentPart.Pool, CurrentCall.Allowed);
   auto Limited = rateLimitedUntil(Now, *CurrentPart.Pool, this->Instances,
                                   CurrentCall.Allowed);
-  CurrentPart.RateLimited = Limited.has_value();
+  this->setRateLimited(Now, CurrentPart, Limited.has_value());
   CurrentPart.PausedUntil =
       pausedUntil(Now, *CurrentPart.Pool, CurrentCall.Allowed);
   if (!MayBecomeAvailable ||
@@ -285,6 +286,9 @@
   if (Backend.RateLimit) {
     limits::takeTurn(*Backend.RateLimit, Now, this->Instances);
   }
+  if (isColdLimited(Now, Backend)) {
+    limits::takeColdTurn(*Backend.ColdShare, Now);
+  }
   this->Links.recordAttempt(Now);
   ++this->Counters.Attempts;
   Out.push_back(SendAttempt{Ref, Backend.Key, Backend.Entry.Id,
--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -1,5 +1,6 @@
 #include "forward/replica_func.h"
 
+#include "forward/cold_state_func.h"
 #include "forward/placement_func.h"
 #include "limits/server_memory_func.h"
 
@@ -30,8 +31,6 @@
  * factor that keeps traffic local while local servers are about as fast. */
 constexpr double OtherDomainMs = 3;
 constexpr double OtherDomainFactor = 1.25;
-/** Latency factor of a server that has just started. */
-constexpr double ColdFactor = 1.6;
 /** A server is considered stalled if an attempt exceeds its typical latency by
  * this factor plus this margin. The factor is also the latency ratio above
  * which OutlierSmoothing applies. */
@@ -85,7 +84,7 @@
   double Result =
       toMilliseconds(TypicalLatency) *
       std::max(MinLatencyFactor, decayTowards(Backend.LatencyFactor, 1, Age));
-  return Now < Backend.ColdUntil ? Result * ColdFactor : Result;
+  return Result * statedSlowness(Now, Backend);
 }
 
 double slotCount(const Server &Backend) {
@@ -127,7 +126,8 @@
 }
 
 bool isWithinRateLimit(const Server &Backend, const ReplicaCriteria &Criteria) {
-  if (Backend.RateLimit && Criteria.WithoutRateLimit) {
+  bool Limited = Backend.RateLimit || isColdLimited(Criteria.Now, Backend);
+  if (Limited && Criteria.WithoutRateLimit) {
     return false;
   }
   return acceptsAt(Criteria.Now, Backend, Criteria.Instances) <= Criteria.Now;
@@ -176,6 +176,7 @@
   double Ratio = toMilliseconds(Now - Ended.SentAt) / Expected;
   double Current =
       decayTowards(Backend.LatencyFactor, 1, Now - Backend.ObservedAt);
+  Ratio = withoutStatedSlowness(Ratio, statedSlowness(Now, Backend), Current);
   if (LowerBound && Ratio <= Current) {
     return;
   }
@@ -187,10 +188,10 @@
 } // namespace
 
 TimePoint acceptsAt(TimePoint Now, const Server &Backend, size_t Instances) {
-  TimePoint Turn = Backend.RateLimit
-                       ? limits::nextTurn(*Backend.RateLimit, Now, Instances)
-                       : Now;
-  return std::max(Turn, Backend.PausedUntil);
+  TimePoint Turn = std::max(coldTurnAt(Now, Backend), Backend.PausedUntil);
+  return Backend.RateLimit ? std::max(Turn, limits::nextTurn(*Backend.RateLimit,
+                                                             Now, Instances))
+                           : Turn;
 }
 
 bool hasRoomForBody(const Server &Backend, uint64_t BodyBytes,
--- a/src/forward/replica_func.h
+++ b/src/forward/replica_func.h
@@ -23,7 +23,7 @@
    * whose ejection has ended. */
   bool Idempotent = false;
   DomainFilter Allowed; ///< Failure domains that the route allows.
-  /** Skips servers that state a rate limit. */
+  /** Skips servers that state a rate limit, or that are cold and limited. */
   bool WithoutRateLimit = false;
   uint64_t BodyBytes = 0;    ///< Size of the request's body.
   uint64_t MaxBodyBytes = 0; ///< At one server; see hasRoomForBody().
@@ -117,8 +117,9 @@
                  const DomainFilter &Allowed = nullptr);
 
 /**
- * Finds when a server accepts a request under the rate limit that it states
- * and after the pause that it has asked for.
+ * Finds when a server accepts a request under the rate limit that it states,
+ * the one that applies while it is cold, and after the pause that it has asked
+ * for.
  * @param Now Current time.
  * @param Backend The server.
  * @param Instances Number of instances that share the limit.
--- a/src/forward/server_set.cpp
+++ b/src/forward/server_set.cpp
@@ -1,5 +1,7 @@
 #include "forward/server_set_base.h"
 
+#include "forward/cold_state_func.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -46,8 +48,10 @@
       continue;
     }
     Entry.Leaving = Entry.Leaving || Existing->second->StatedLeaving;
+    restateCold(Now, *Existing->second, Entry);
     Existing->second->Entry = std::move(Entry);
   }
+  this->FirstListed = this->FirstListed || !Entries.empty();
   std::vector<std::string> Unlisted;
   for (const auto &[Id, Entry] : this->ById) {
     if (Listed.count(Id) == 0) {
@@ -105,7 +109,10 @@
   auto Added = std::make_unique<Server>();
   Added->Key = ServerKey(this->NextKey++);
   Added->Entry = Entry;
-  Added->ColdUntil = Now + Entry.ColdRemaining;
+  // Servers of the first list may have started long ago.
+  startCold(Now, *Added,
+            this->FirstListed ? this->pool(Entry.Service).ColdTime
+                              : std::chrono::milliseconds(0));
   Added->ObservedAt = Now;
   Server &Result = *Added;
   this->ById[Entry.Id.Value] = &Result;
