Separate a server's lasting speed from its state of the moment

Cause: the ratio of a server's latency to the typical one was one average that was forgotten with a half-life of 4 s. A turn of a neighbour's noise of 600 ms counted for seconds, and a lasting difference was forgotten as quickly.

Change: the lasting factor is a running median with small steps, bounded and kept for minutes; the factor of the moment is forgotten after about the time for which the server has been slow, 0.3 to 4 s.

The forward tests pass (40 cases).

--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -1,5 +1,7 @@
 #include "forward/replica_func.h"
 
+#include "forward/server_speed_func.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -11,14 +13,9 @@
 
 namespace {
 
-/** Weight of a new observation in the moving averages. */
+/** Weight of a new observation in the smoothed success rate. */
 constexpr double Smoothing = 0.25;
-/** Weight of a latency ratio above StallFactor, which may be due to a pause: a
- * single pause says little about a server's speed. */
-constexpr double OutlierSmoothing = 0.12;
-/** Upper bound of the observed latency ratio, for the same reason. */
-constexpr double MaxLatencyRatio = 4;
-/** Half-life of the moving averages of a server without new observations. */
+/** Half-life of the success rate of a server without new observations. */
 constexpr double ObservationHalfLifeMs = 4'000;
 /** Half-life of a load report; the typical time that a request spends at a
  * server. */
@@ -30,8 +27,7 @@
 /** Latency factor of a server that has just started. */
 constexpr double ColdFactor = 1.6;
 /** A server is considered stalled if an attempt exceeds its typical latency by
- * this factor plus this margin. The factor is also the latency ratio above
- * which OutlierSmoothing applies. */
+ * this factor plus this margin. */
 constexpr double StallFactor = 2.5;
 constexpr double StallMarginMs = 12;
 /** Expected remaining duration of a stall. */
@@ -78,10 +74,9 @@
 /** @return Estimated time to execute one request, without queueing. */
 double executionMs(TimePoint Now, const Server &Backend,
                    Duration TypicalLatency) {
-  Duration Age = Now - Backend.ObservedAt;
   double Result =
       toMilliseconds(TypicalLatency) *
-      std::max(MinLatencyFactor, decayTowards(Backend.LatencyFactor, 1, Age));
+      std::max(MinLatencyFactor, currentSlowness(Backend.Speed, Now));
   return Now < Backend.ColdUntil ? Result * ColdFactor : Result;
 }
 
@@ -173,14 +168,7 @@
                     const OutstandingAttempt &Ended, bool LowerBound) {
   double Expected = std::max(0.5, toMilliseconds(Ended.Expected));
   double Ratio = toMilliseconds(Now - Ended.SentAt) / Expected;
-  double Current =
-      decayTowards(Backend.LatencyFactor, 1, Now - Backend.ObservedAt);
-  if (LowerBound && Ratio <= Current) {
-    return;
-  }
-  double Weight = Ratio > StallFactor ? OutlierSmoothing : Smoothing;
-  Backend.LatencyFactor =
-      Current + Weight * (std::min(Ratio, MaxLatencyRatio) - Current);
+  observeSpeed(Backend.Speed, Now, Ratio, LowerBound);
 }
 
 } // namespace
@@ -207,15 +195,17 @@
 }
 
 bool isStalled(TimePoint Now, const Server &Backend) {
-  for (const OutstandingAttempt &Attempt : Backend.Outstanding) {
-    double TypicalMs = toMilliseconds(Attempt.Expected) *
-                       std::clamp(Backend.LatencyFactor, 1.0, 3.0);
-    if (toMilliseconds(Now - Attempt.SentAt) >
-        TypicalMs * StallFactor + StallMarginMs) {
-      return true;
-    }
+  if (Backend.Outstanding.empty()) {
+    return false;
   }
-  return false;
+  double Slowness = std::clamp(currentSlowness(Backend.Speed, Now), 1.0, 3.0);
+  return std::any_of(Backend.Outstanding.begin(), Backend.Outstanding.end(),
+                     [&](const OutstandingAttempt &Attempt) {
+                       double TypicalMs =
+                           toMilliseconds(Attempt.Expected) * Slowness;
+                       return toMilliseconds(Now - Attempt.SentAt) >
+                              TypicalMs * StallFactor + StallMarginMs;
+                     });
 }
 
 Server *chooseReplica(const ServicePool &Pool, const ReplicaCriteria &Criteria,
--- a/src/forward/server_set.cpp
+++ b/src/forward/server_set.cpp
@@ -98,6 +98,8 @@
   Added->Entry = Entry;
   Added->ColdUntil = Now + Entry.ColdRemaining;
   Added->ObservedAt = Now;
+  Added->Speed.LastingAt = Now;
+  Added->Speed.MomentAt = Now;
   Server &Result = *Added;
   this->ById[Entry.Id.Value] = &Result;
   this->Pools[Entry.Service].Servers.push_back(&Result);
--- a/src/forward/server_type.h
+++ b/src/forward/server_type.h
@@ -3,6 +3,7 @@
 
 #include "base/id_type.h"
 #include "base/time_type.h"
+#include "forward/server_speed_type.h"
 #include "limits/rate_share_func.h"
 
 #include <chrono>
@@ -65,9 +66,9 @@
   bool Misdirected = false; ///< Another server is using its address.
   base::TimePoint ColdUntil;
   std::vector<OutstandingAttempt> Outstanding;
-  double LatencyFactor = 1;   ///< Smoothed ratio to the typical latency.
   double SuccessRate = 1;     ///< Smoothed success rate of attempts.
-  base::TimePoint ObservedAt; ///< Last change of LatencyFactor or SuccessRate.
+  base::TimePoint ObservedAt; ///< Last change of SuccessRate.
+  ServerSpeed Speed;
   uint32_t Failures = 0;      ///< Consecutive failures.
   /** End of the last ejection; unset after a success or a rejection. */
   base::TimePoint EjectedUntil;
