Take parts of common limits by an instance's capacity

Cause: instances of 0.12 and 0.5 of a core took equal parts of the retry slack, of stated rates and of connections.

Change: heartbeats carry the capacity (field 15), and an instance takes one part in instances / weight. Instances that are counted but not heard of count as the largest known one; older releases count as average.

--- a/src/daemon/fleet_node_base.h
+++ b/src/daemon/fleet_node_base.h
@@ -3,6 +3,7 @@
 
 #include "config/gateway_settings_type.h"
 #include "discovery/item_type.h"
+#include "fleet/capacity_func.h"
 #include "fleet/roster_base.h"
 #include "net/http_pool_base.h"
 
@@ -112,6 +113,12 @@
   size_t instances(base::TimePoint Now) const {
     return this->Members.countInstances(Now);
   }
+  /** @param Now Current time. @return The part of common limits that this
+   * instance takes, relative to an equal part. */
+  double capacityWeight(base::TimePoint Now) const {
+    return this->Members.capacityWeight(
+        Now, fleet::toCapacity(this->Settings.Size.CpuCores));
+  }
   /** @return The counters. */
   const FleetCounters &counters() const { return this->Counters; }
 
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -175,7 +175,8 @@
         forward::Actions Actions;
         this->Engine.probeServers(suspendAwareNow(), Actions);
         this->executeActions(std::move(Actions));
-        this->Engine.onInstances(this->Fleet->instances(Event.Now));
+        this->Engine.onInstances(this->Fleet->instances(Event.Now),
+                                 this->Fleet->capacityWeight(Event.Now));
       });
   this->Timers.subscribe(TickPeriod, [this](const base::Tick &Event) {
     if (this->Fleet->pullNewerView(Event.Now, this->View.lastChange(),
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -157,6 +157,7 @@
   fleet::Heartbeat Message;
   Message.Leaving = this->Stopping && !this->OnStopped;
   Message.LastChange = this->View.lastChange();
+  Message.Capacity = fleet::toCapacity(this->Settings.Size.CpuCores);
   Message.AcceptsRelays = !this->Stopping && this->Engine.routes() &&
                           this->ServersKnown && this->Engine.reachesServers();
   if (this->Freshness.VerifiedAt) {
@@ -259,6 +260,7 @@
   Count("caller_header_timeouts", CallerCounters.HeaderTimeouts);
   Count("caller_idle_closed", CallerCounters.IdleClosed);
   Add("instances", static_cast<double>(this->Fleet->instances(Clock::now())));
+  Add("capacity_weight", this->Fleet->capacityWeight(Clock::now()));
   Add("routes_observed", static_cast<double>(this->Engine.observedRoutes()));
   Add("backend_servers", static_cast<double>(this->Engine.servers()));
   Add("reaches_servers", this->Engine.reachesServers() ? 1 : 0);
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -33,6 +33,9 @@
   /** Fingerprints of requests that crash backend servers; used only if there
    * are no reports, as in heartbeats of older releases. */
   std::vector<base::Fingerprint> QuarantinedFingerprints;
+  /** Processor share of the sender in thousandths of a core; nothing if it is
+   * unknown, as in heartbeats of older releases. */
+  std::optional<uint32_t> Capacity;
   /** Known crashes of backend servers during requests. */
   std::optional<std::vector<forward::CrashReport>> Crashes;
 };
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -1,5 +1,7 @@
 #include "fleet/roster_base.h"
 
+#include "fleet/capacity_func.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -160,6 +162,23 @@
                           this->SeedAddresses.size());
 }
 
+double Roster::capacityWeight(base::TimePoint Now,
+                              std::optional<uint32_t> OwnCapacity) const {
+  std::vector<uint32_t> Known;
+  for (const auto &[Address, KnownPeer] : this->Peers) {
+    if (Now - KnownPeer.LastHeardAt <= PeerExpiry &&
+        KnownPeer.LastHeartbeat.Capacity) {
+      Known.push_back(*KnownPeer.LastHeartbeat.Capacity);
+    }
+  }
+  auto Heard = std::count_if(
+      this->Peers.begin(), this->Peers.end(), [&](const auto &Entry) {
+        return Now - Entry.second.LastHeardAt <= PeerExpiry;
+      });
+  size_t Unheard = this->countInstances(Now) - static_cast<size_t>(Heard) - 1;
+  return OwnCapacity ? weighCapacity(*OwnCapacity, Known, Unheard) : 1;
+}
+
 Roster::NewerViews
 Roster::findNewerViews(base::TimePoint Now,
                        const discovery::StorePosition &LastChange,
--- a/src/fleet/roster_base.h
+++ b/src/fleet/roster_base.h
@@ -67,6 +67,20 @@
    */
   size_t countInstances(base::TimePoint Now) const;
 
+  /**
+   * Computes the part of common limits that this instance takes, relative to an
+   * equal part. Instances that state no capacity count as average ones. Those
+   * that are counted, but from which no heartbeat has arrived, count as the
+   * largest known one, so that the parts of all instances do not exceed the
+   * limit while their views are incomplete.
+   * @param Now Current time.
+   * @param OwnCapacity Of this instance, in thousandths of a core; nothing if
+   *   it is unknown.
+   * @return The weight; 1 if the capacity is unknown or all are about equal.
+   */
+  double capacityWeight(base::TimePoint Now,
+                        std::optional<uint32_t> OwnCapacity) const;
+
   /**
    * Chooses a live instance with the newest view, if that is newer than the own
    * one. Instances of the own failure domain are preferred. The choice is
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -4,6 +4,7 @@
 #include "forward/route_table_func.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -75,8 +76,14 @@
   }
 }
 
-void Engine::onInstances(size_t Instances) {
-  this->Instances = std::max<size_t>(1, Instances);
+void Engine::onInstances(size_t Instances, double Weight) {
+  Instances = std::max<size_t>(1, Instances);
+  this->Instances = Instances;
+  this->CapacityWeight = Weight;
+  // Rounded up, so that the parts of all instances stay within the limit.
+  this->LimitParts = std::max<size_t>(
+      1,
+      static_cast<size_t>(std::ceil(static_cast<double>(Instances) / Weight)));
 }
 
 CallId Engine::onRequest(TimePoint Now, const CallRequest &Request,
--- a/src/forward/engine_admission.cpp
+++ b/src/forward/engine_admission.cpp
@@ -74,7 +74,7 @@
   TimePoint RetryAt = Now + NoServerRetryAfter;
   for (Part &Entry : CurrentCall.Parts) {
     auto Unreachable = unreachableUntil(Now, *Entry.Pool);
-    auto Limited = rateLimitedUntil(Now, *Entry.Pool, this->Instances);
+    auto Limited = rateLimitedUntil(Now, *Entry.Pool, this->LimitParts);
     Entry.RateLimited = Limited && isWaitTooLong(*Limited, CurrentCall);
     Unreachables += Unreachable ? 1 : 0;
     if (!hasUsableReplica(*Entry.Pool) || Entry.RateLimited ||
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -50,6 +50,8 @@
 /** Fraction of the connections that may be used; the rest is reserved, for
  * example for an instance that has just started. */
 constexpr double UsableConnectionShare = 0.9;
+/** Smallest part of an instance, relative to an equal part. */
+constexpr double MinCapacityWeight = 0.5;
 
 /** Servers discard a part of a fan-out after this multiple of the route's
  * target latency, because the answer has usually been sent without it by then.
@@ -89,8 +91,13 @@
 }
 
 uint32_t Engine::maxOutstanding(const ServicePool &Pool) const {
-  double Allowed = Pool.MaxConnections * UsableConnectionShare /
-                   static_cast<double>(this->Instances);
+  double Usable = Pool.MaxConnections * UsableConnectionShare;
+  double Equal = Usable / static_cast<double>(this->Instances);
+  // The smallest instances take one connection even if their part is less, so
+  // the parts differ only where each gets a whole one.
+  double Allowed = Equal * MinCapacityWeight >= 1
+                       ? Usable / static_cast<double>(this->LimitParts)
+                       : Equal;
   return std::max(1U, static_cast<uint32_t>(Allowed));
 }
 
@@ -150,7 +157,7 @@
   Criteria.Expected = this->typicalLatency(*CurrentCall.MatchedRoute);
   Criteria.Domain = this->Options.Domain;
   Criteria.MaxOutstanding = this->maxOutstanding(*CurrentPart.Pool);
-  Criteria.Instances = this->Instances;
+  Criteria.Instances = this->LimitParts;
   Criteria.Avoid = {Tried.data(), Tried.size()};
   Criteria.Idempotent = CurrentCall.MatchedRoute->Idempotent;
   // A hedge would use up the rate that first attempts need.
@@ -175,7 +182,7 @@
   auto Consider = [&](Server *Tried) {
     if (Tried != nullptr && Tried->Entry.Service == CurrentPart.Pool->Service &&
         !Tried->Entry.Leaving && !Tried->Misdirected &&
-        acceptsAt(Now, *Tried, this->Instances) <= Now) {
+        acceptsAt(Now, *Tried, this->LimitParts) <= Now) {
       Last = Tried;
     }
   };
@@ -201,7 +208,7 @@
   bool MayBecomeAvailable =
       distinctServers(CurrentPart) < CurrentCall.MatchedRoute->MaxAttempts &&
       hasUsableReplica(*CurrentPart.Pool);
-  auto Limited = rateLimitedUntil(Now, *CurrentPart.Pool, this->Instances);
+  auto Limited = rateLimitedUntil(Now, *CurrentPart.Pool, this->LimitParts);
   CurrentPart.RateLimited = Limited.has_value();
   if (!MayBecomeAvailable ||
       (Limited && isWaitTooLong(*Limited, CurrentCall))) {
@@ -242,7 +249,7 @@
   }
   if (CurrentPart.PossiblyDelivered > 0) {
     if (!CurrentPart.Pool->Budget.tryTake(limits::ExtraAttemptKind::Retry,
-                                          this->Options.Extra, this->Instances,
+                                          this->Options.Extra, this->LimitParts,
                                           Now)) {
       ++this->Counters.RetriesDenied;
       CurrentPart.WakeAt = Now + BudgetRecheckDelay;
@@ -266,7 +273,7 @@
   Backend.Outstanding.push_back(
       {Ref, Now, this->typicalLatency(*CurrentCall.MatchedRoute)});
   if (Backend.RateLimit) {
-    limits::takeTurn(*Backend.RateLimit, Now, this->Instances);
+    limits::takeTurn(*Backend.RateLimit, Now, this->LimitParts);
   }
   this->Links.recordAttempt(Now);
   ++this->Counters.Attempts;
@@ -300,7 +307,7 @@
     return;
   }
   if (!CurrentPart.Pool->Budget.tryTake(limits::ExtraAttemptKind::Hedge,
-                                        this->Options.Extra, this->Instances,
+                                        this->Options.Extra, this->LimitParts,
                                         Now)) {
     ++this->Counters.HedgesDenied;
     CurrentPart.WakeAt = Now + BudgetRecheckDelay;
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -86,8 +86,9 @@
   /**
    * Sets the number of instances, which share budgets and connections.
    * @param Instances Instances including this one.
+   * @param Weight Part of this instance, relative to an equal part.
    */
-  void onInstances(size_t Instances);
+  void onInstances(size_t Instances, double Weight = 1);
 
   /**
    * Replaces the list of instances that accept relays.
@@ -354,6 +355,11 @@
   PeerSet Peers;
   Reachability Links;
   size_t Instances = 1;
+  /** Part of this instance in common limits, relative to an equal part. */
+  double CapacityWeight = 1;
+  /** This instance takes one part in so many of a common limit; the number of
+   * instances, if their capacities are equal. */
+  size_t LimitParts = 1;
   CrashRecord Crashes;
   EngineCounters Counters;
   std::unordered_map<uint64_t, std::unique_ptr<Call>> Calls;
--- a/src/forward/engine_replies.cpp
+++ b/src/forward/engine_replies.cpp
@@ -100,7 +100,7 @@
     Backend.RateLimit->PerSecond = *Received.RateLimit;
   } else {
     Backend.RateLimit = limits::startRateShare(
-        Now, *Received.RateLimit, this->Instances, this->Generator);
+        Now, *Received.RateLimit, this->LimitParts, this->Generator);
   }
 }
 
--- a/src/gen/fleet_types.cpp
+++ b/src/gen/fleet_types.cpp
@@ -229,6 +229,11 @@
   this->viewAgeMs = val;
 __isset.viewAgeMs = true;
 }
+
+void Heartbeat::__set_capacity(const int32_t val) {
+  this->capacity = val;
+__isset.capacity = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -406,6 +411,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->capacity);
+          this->__isset.capacity = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -519,6 +532,11 @@
     xfer += oprot->writeI64(this->viewAgeMs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.capacity) {
+    xfer += oprot->writeFieldBegin("capacity", ::apache::thrift::protocol::T_I32, 15);
+    xfer += oprot->writeI32(this->capacity);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -539,6 +557,7 @@
   swap(a.acceptsRelays, b.acceptsRelays);
   swap(a.crashes, b.crashes);
   swap(a.viewAgeMs, b.viewAgeMs);
+  swap(a.capacity, b.capacity);
   swap(a.__isset, b.__isset);
 }
 
@@ -556,6 +575,7 @@
   acceptsRelays = other26.acceptsRelays;
   crashes = other26.crashes;
   viewAgeMs = other26.viewAgeMs;
+  capacity = other26.capacity;
   __isset = other26.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other27) {
@@ -572,6 +592,7 @@
   acceptsRelays = other27.acceptsRelays;
   crashes = other27.crashes;
   viewAgeMs = other27.viewAgeMs;
+  capacity = other27.capacity;
   __isset = other27.__isset;
   return *this;
 }
@@ -591,6 +612,7 @@
   out << ", " << "acceptsRelays=" << to_string(acceptsRelays);
   out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ", " << "viewAgeMs="; (__isset.viewAgeMs ? (out << to_string(viewAgeMs)) : (out << "<null>"));
+  out << ", " << "capacity="; (__isset.capacity ? (out << to_string(capacity)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/fleet_types.h
+++ b/src/gen/fleet_types.h
@@ -78,11 +78,12 @@
 std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : changedAtEpoch(false), acceptsRelays(false), crashes(false), viewAgeMs(false) {}
+  _Heartbeat__isset() : changedAtEpoch(false), acceptsRelays(false), crashes(false), viewAgeMs(false), capacity(false) {}
   bool changedAtEpoch :1;
   bool acceptsRelays :1;
   bool crashes :1;
   bool viewAgeMs :1;
+  bool capacity :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -100,7 +101,8 @@
               storeStable(0),
               changedAtEpoch(0),
               acceptsRelays(0),
-              viewAgeMs(0) {
+              viewAgeMs(0),
+              capacity(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -117,6 +119,7 @@
   bool acceptsRelays;
   std::vector<CrashReport>  crashes;
   int64_t viewAgeMs;
+  int32_t capacity;
 
   _Heartbeat__isset __isset;
 
@@ -146,6 +149,8 @@
 
   void __set_viewAgeMs(const int64_t val);
 
+  void __set_capacity(const int32_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(address == rhs.address))
@@ -178,6 +183,10 @@
       return false;
     else if (__isset.viewAgeMs && !(viewAgeMs == rhs.viewAgeMs))
       return false;
+    if (__isset.capacity != rhs.__isset.capacity)
+      return false;
+    else if (__isset.capacity && !(capacity == rhs.capacity))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/src/net/fleet_codec_func.cpp
+++ b/src/net/fleet_codec_func.cpp
@@ -24,6 +24,8 @@
 constexpr size_t MaxListedPeers = 256;
 constexpr size_t MaxQuarantined = 256;
 constexpr size_t MaxItems = 65'536;
+/** In thousandths of a core; no machine has more. */
+constexpr int32_t MaxCapacity = 4'096'000;
 /** An older view counts as never complete. */
 constexpr std::chrono::milliseconds MaxViewAge = std::chrono::hours(1);
 
@@ -92,6 +94,9 @@
   if (Source.ViewAge) {
     Wire.__set_viewAgeMs(Source.ViewAge->count());
   }
+  if (Source.Capacity) {
+    Wire.__set_capacity(static_cast<int32_t>(*Source.Capacity));
+  }
   Wire.domain = Source.Domain.Value;
   Wire.peers = Source.Peers;
   for (base::Fingerprint Content : Source.QuarantinedFingerprints) {
@@ -121,7 +126,9 @@
                Wire.peers.size() <= MaxListedPeers &&
                Wire.quarantined.size() <= MaxQuarantined &&
                Wire.crashes.size() <= MaxQuarantined && Wire.viewAgeMs >= 0 &&
-               Wire.viewAgeMs <= MaxViewAge.count();
+               Wire.viewAgeMs <= MaxViewAge.count() &&
+               (!Wire.__isset.capacity ||
+                (Wire.capacity > 0 && Wire.capacity <= MaxCapacity));
   if (!Valid) {
     return Error{ErrorKind::Protocol, "heartbeat: a field is out of range"};
   }
@@ -136,6 +143,9 @@
   if (Wire.__isset.viewAgeMs) {
     Result.ViewAge = std::chrono::milliseconds(Wire.viewAgeMs);
   }
+  if (Wire.__isset.capacity) {
+    Result.Capacity = static_cast<uint32_t>(Wire.capacity);
+  }
   Result.Domain = base::FailureDomainId(Wire.domain);
   for (const std::string &Peer : Wire.peers) {
     if (config::parseEndpoint(Peer)) {
--- a/thrift/fleet.thrift
+++ b/thrift/fleet.thrift
@@ -25,6 +25,7 @@
   12: bool acceptsRelays;           // serves callers' requests for others
   13: optional list<CrashReport> crashes; // replaces quarantined
   14: optional i64 viewAgeMs;       // since the view was known to be complete
+  15: optional i32 capacity;        // thousandths of a core; not in older releases
 }
 
 struct ViewChange {
