Connect each instance to a subset of the servers where limits require it

Cause: 85 instances with one connection each exceed the 74 that a server of the third site accepts; the servers reset the others.

Change: if there are more instances than a server accepts connections, an instance uses two servers of a shard or more, chosen by hashes of its own id and the servers' ids. Others are used only while none of these is available, and their connections are closed afterwards. Where there are enough connections nothing changes.

--- a/src/daemon/fleet_node_base.h
+++ b/src/daemon/fleet_node_base.h
@@ -113,6 +113,11 @@
   size_t instances(base::TimePoint Now) const {
     return this->Members.countInstances(Now);
   }
+  /** @param Now Current time. @return Number of live instances of the own
+   * failure domain, including this one. */
+  size_t domainInstances(base::TimePoint Now) const {
+    return this->Members.countDomainInstances(Now);
+  }
   /** @param Now Current time. @return The part of common limits that this
    * instance takes, relative to an equal part. */
   double capacityWeight(base::TimePoint Now) const {
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -35,6 +35,7 @@
   forward::EngineOptions Options;
   Options.Domain = Settings.Domain;
   Options.Extra = Settings.Extra;
+  Options.Instance = Settings.Instance.Value;
   return Options;
 }
 
@@ -177,6 +178,7 @@
         this->executeActions(std::move(Actions));
         this->Engine.onInstances(this->Fleet->instances(Event.Now),
                                  this->Fleet->capacityWeight(Event.Now));
+        this->Engine.onDomainInstances(this->Fleet->domainInstances(Event.Now));
       });
   this->Timers.subscribe(TickPeriod, [this](const base::Tick &Event) {
     if (this->Fleet->pullNewerView(Event.Now, this->View.lastChange(),
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -228,6 +228,7 @@
   Count("relays", EngineCounters.Relays);
   Count("relays_failed", EngineCounters.RelaysFailed);
   Count("relays_received", EngineCounters.RelaysReceived);
+  Count("attempts_unassigned", EngineCounters.Borrowed);
   for (size_t I = 0; I < forward::RefusalReasonCount; ++I) {
     Count("refusals", EngineCounters.Refusals[I],
           {{"reason",
@@ -263,6 +264,8 @@
   Add("capacity_weight", this->Fleet->capacityWeight(Clock::now()));
   Add("routes_observed", static_cast<double>(this->Engine.observedRoutes()));
   Add("backend_servers", static_cast<double>(this->Engine.servers()));
+  Add("backend_servers_assigned",
+      static_cast<double>(this->Engine.assignedServers()));
   Add("reaches_servers", this->Engine.reachesServers() ? 1 : 0);
   Add("peer_connections", static_cast<double>(this->PeerLinks.connections()));
   Add("connections", static_cast<double>(this->Upstream.connections()));
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -162,6 +162,15 @@
                           this->SeedAddresses.size());
 }
 
+size_t Roster::countDomainInstances(base::TimePoint Now) const {
+  auto PeerCount = std::count_if(
+      this->Peers.begin(), this->Peers.end(), [&](const auto &Entry) {
+        return Entry.second.LastHeartbeat.Domain == this->Domain &&
+               Now - Entry.second.LastHeardAt <= PeerExpiry;
+      });
+  return static_cast<size_t>(PeerCount) + 1;
+}
+
 double Roster::capacityWeight(base::TimePoint Now,
                               std::optional<uint32_t> OwnCapacity) const {
   std::vector<uint32_t> Known;
--- a/src/fleet/roster_base.h
+++ b/src/fleet/roster_base.h
@@ -67,6 +67,14 @@
    */
   size_t countInstances(base::TimePoint Now) const;
 
+  /**
+   * Counts the instances of the own failure domain that may be using backend
+   * servers.
+   * @param Now Current time.
+   * @return Number of them with a recent heartbeat, including this one.
+   */
+  size_t countDomainInstances(base::TimePoint Now) const;
+
   /**
    * Computes the part of common limits that this instance takes, relative to an
    * equal part. Instances that state no capacity count as average ones. Those
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -56,6 +56,7 @@
   for (const auto &[Name, Spec] : this->Table->Services) {
     this->Servers.pool(Name).MaxConnections = Spec.MaxConnections;
   }
+  this->AssignmentsDue = true;
   std::set<std::string_view> Names;
   for (const Route &Known : this->Table->Routes) {
     Names.insert(Known.Name);
@@ -74,10 +75,14 @@
   for (ServerKey Ended : this->Servers.apply(Now, Entries)) {
     Out.push_back(CloseServerConnections{Ended});
   }
+  this->AssignmentsDue = true;
+  this->updateAssignments(Out);
 }
 
 void Engine::onInstances(size_t Instances, double Weight) {
   Instances = std::max<size_t>(1, Instances);
+  this->AssignmentsDue |=
+      this->Instances != Instances || this->CapacityWeight != Weight;
   this->Instances = Instances;
   this->CapacityWeight = Weight;
   // Rounded up, so that the parts of all instances stay within the limit.
@@ -186,6 +191,8 @@
 }
 
 void Engine::probeServers(TimePoint Now, Actions &Out) {
+  this->updateAssignments(Out);
+  this->returnBorrowed(Out);
   for (const auto &[Id, Backend] : this->Servers.all()) {
     bool Due = Backend->Unreachable && !Backend->Probing &&
                Backend->EjectedUntil <= Now && !Backend->Entry.Leaving;
@@ -199,6 +206,7 @@
 
 void Engine::probe(Server &Suspect, Actions &Out) {
   Suspect.Probing = true;
+  Suspect.Borrowed = !Suspect.Assigned;
   ++this->Counters.Probes;
   Out.push_back(ProbeConnection{Suspect.Key, Suspect.Entry.Address});
 }
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -270,6 +270,8 @@
   ++CurrentPart.PossiblyRun;
   CurrentPart.Phase = PartPhase::InFlight;
   CurrentPart.WakeAt = Now + this->hedgeDelay(*CurrentCall.MatchedRoute);
+  Backend.Borrowed = !Backend.Assigned;
+  this->Counters.Borrowed += Backend.Borrowed ? 1 : 0;
   Backend.Outstanding.push_back(
       {Ref, Now, this->typicalLatency(*CurrentCall.MatchedRoute)});
   if (Backend.RateLimit) {
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -22,6 +22,7 @@
 struct EngineOptions {
   base::FailureDomainId Domain; ///< Of this instance.
   limits::ExtraAttemptLimits Extra;
+  std::string Instance = ""; ///< Id of this instance.
 };
 
 /** Counters of an engine; never reset. */
@@ -48,6 +49,8 @@
   uint64_t Relays = 0;           ///< Calls passed on to other instances.
   uint64_t RelaysFailed = 0;     ///< Without an answer of backend servers.
   uint64_t RelaysReceived = 0;   ///< Calls passed on by other instances.
+  /** Attempts at servers that this instance is not assigned to. */
+  uint64_t Borrowed = 0;
   std::array<uint64_t, RefusalReasonCount> Refusals{};
 };
 
@@ -90,6 +93,12 @@
    */
   void onInstances(size_t Instances, double Weight = 1);
 
+  /**
+   * Sets the number of instances in the own failure domain.
+   * @param Instances Instances including this one.
+   */
+  void onDomainInstances(size_t Instances);
+
   /**
    * Replaces the list of instances that accept relays.
    * @param Entries The other instances.
@@ -245,6 +254,8 @@
   size_t callsInProgress() const { return this->Calls.size(); }
   /** @return Number of listed servers. */
   size_t servers() const { return this->Servers.size(); }
+  /** @return Number of listed servers that this instance connects to. */
+  size_t assignedServers() const;
   /** @return Record of requests that crash backend servers. */
   const CrashRecord &crashes() const { return this->Crashes; }
   /** @return Current counters. */
@@ -305,6 +316,13 @@
   base::Duration attemptTimeout(base::TimePoint Now,
                                 const Call &CurrentCall) const;
 
+  // Servers that this instance connects to (engine_subset.cpp).
+  /** Chooses the servers that this instance connects to, if the servers or the
+   * numbers of instances have changed. */
+  void updateAssignments(Actions &Out);
+  /** Closes the connections to unassigned servers that are not in use. */
+  void returnBorrowed(Actions &Out);
+
   // Replies (engine_replies.cpp).
   /** Opens a connection to a server that may have crashed. */
   void probe(Server &Suspect, Actions &Out);
@@ -360,6 +378,8 @@
   /** This instance takes one part in so many of a common limit; the number of
    * instances, if their capacities are equal. */
   size_t LimitParts = 1;
+  size_t DomainInstances = 1;
+  bool AssignmentsDue = false; ///< updateAssignments() has something to do.
   CrashRecord Crashes;
   EngineCounters Counters;
   std::unordered_map<uint64_t, std::unique_ptr<Call>> Calls;
--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -150,6 +150,21 @@
          Backend.Outstanding.empty();
 }
 
+/** @return Whether a server that the instance is assigned to is available, now
+ * or once its attempts have ended. */
+bool hasAvailableAssigned(const ServicePool &Pool,
+                          const ReplicaCriteria &Criteria) {
+  return std::any_of(
+      Pool.Servers.begin(), Pool.Servers.end(), [&](const Server *Entry) {
+        return Entry->Assigned && isUsable(*Entry) && !Entry->Unreachable &&
+               !onProbation(*Entry) && !isStalled(Criteria.Now, *Entry) &&
+               Criteria.Now >= Entry->BusyUntil &&
+               isWithinRateLimit(*Entry, Criteria) &&
+               std::find(Criteria.Avoid.begin(), Criteria.Avoid.end(),
+                         Entry->Key) == Criteria.Avoid.end();
+      });
+}
+
 void eject(TimePoint Now, Server &Backend) {
   uint32_t Doublings =
       std::min(Backend.Failures, EjectAfterFailures + MaxEjectionDoublings);
@@ -214,8 +229,10 @@
   double BestCost = 0;
   bool BestHealthy = false;
   uint32_t Ties = 0;
+  bool AssignedOnly = hasAvailableAssigned(Pool, Criteria);
   for (Server *Candidate : Pool.Servers) {
-    if (!isCandidate(*Candidate, Criteria)) {
+    if (!isCandidate(*Candidate, Criteria) ||
+        (AssignedOnly && !Candidate->Assigned)) {
       continue;
     }
     bool Healthy = isHealthy(*Candidate, Criteria);
--- a/src/forward/server_set.cpp
+++ b/src/forward/server_set.cpp
@@ -92,6 +92,15 @@
   return Found == this->Servers.end() ? nullptr : Found->second.get();
 }
 
+std::vector<ServicePool *> ServerSet::pools() {
+  std::vector<ServicePool *> Result;
+  Result.reserve(this->Pools.size());
+  for (auto &[Name, Pool] : this->Pools) {
+    Result.push_back(&Pool);
+  }
+  return Result;
+}
+
 Server &ServerSet::add(base::TimePoint Now, const ServerEntry &Entry) {
   auto Added = std::make_unique<Server>();
   Added->Key = ServerKey(this->NextKey++);
--- a/src/forward/server_set_base.h
+++ b/src/forward/server_set_base.h
@@ -58,6 +58,9 @@
    */
   Server *find(const base::ServerId &Id);
 
+  /** @return All services with or without servers, in no particular order. */
+  std::vector<ServicePool *> pools();
+
   /** @return All listed servers, by id. */
   const std::map<std::string, Server *> &all() const { return this->ById; }
 
--- a/src/forward/server_type.h
+++ b/src/forward/server_type.h
@@ -64,6 +64,10 @@
   ServerKey Key;
   ServerEntry Entry;
   bool Misdirected = false; ///< Another server is using its address.
+  /** This instance connects to it; others are used only if none of the assigned
+   * servers is available, and not longer. */
+  bool Assigned = true;
+  bool Borrowed = false; ///< Was used or probed while not assigned.
   base::TimePoint ColdUntil;
   std::vector<OutstandingAttempt> Outstanding;
   double SuccessRate = 1;     ///< Smoothed success rate of attempts.
