--- a/tests/uneven_speed_test.cpp
+++ b/tests/uneven_speed_test.cpp
@@ -53,6 +53,13 @@
   return (Draw.below(7) == 0 ? 2.5 : 1) / Mean;
 }
 
+/** The servers of a shard have speeds of 0.8, 1 and 1.3, and noise. */
+double mixed(size_t Server, base::TimePoint Now) {
+  static const double Times[] = {1 / 0.8, 1, 1 / 1.3};
+  constexpr double Mean = (1 / 0.8 + 1 + 1 / 1.3) / 3;
+  return noisy(Server, Now) * Times[Server % 3] / Mean;
+}
+
 double even(size_t, base::TimePoint) { return 1; }
 
 /** Executes attempts in slots and replies when their time is over. */
@@ -155,6 +162,15 @@
   CHECK(NoisyMs <= 1.15 * EvenMs);
 }
 
+// Load: the same, and the servers of a shard have speeds of 0.8, 1 and 1.3.
+// Guards against a slow server that gets as much as a fast one.
+TEST_CASE("servers of different speeds cost wide calls little", "[uneven]") {
+  double EvenMs = base::toMilliseconds(wideP99(even));
+  double MixedMs = base::toMilliseconds(wideP99(mixed));
+  CAPTURE(EvenMs, MixedMs);
+  CHECK(MixedMs <= 1.15 * EvenMs);
+}
+
 // Load: a server that takes 0.77 of the typical time has a turn of noise of
 // 600 ms. Guards against a fast server that is avoided after it.
 TEST_CASE("a turn of noise does not change a lasting speed", "[uneven]") {
