--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -37,6 +37,7 @@
   Options.Extra = Settings.Extra;
   Options.Regions = Settings.Regions;
   Options.Cold = Settings.Cold;
+  Options.Instance = Settings.Instance.Value;
   return Options;
 }
 
@@ -178,7 +179,9 @@
         forward::Actions Actions;
         this->Engine.probeServers(suspendAwareNow(), Actions);
         this->executeActions(std::move(Actions));
-        this->Engine.onInstances(this->Fleet->instances(Event.Now));
+        this->Engine.onInstances(this->Fleet->instances(Event.Now),
+                                 this->Fleet->capacityWeight(Event.Now));
+        this->Engine.onDomainInstances(this->Fleet->domainInstances(Event.Now));
         this->Engine.onColdMembers(this->Fleet->coldMembers(Event.Now));
       });
   this->Timers.subscribe(TickPeriod, [this](const base::Tick &Event) {
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -198,6 +198,7 @@
   fleet::Heartbeat Message;
   Message.Leaving = this->Stopping && !this->OnStopped;
   Message.LastChange = this->View.lastChange();
+  Message.Capacity = fleet::toCapacity(this->Settings.Size.CpuCores);
   Message.AcceptsRelays = !this->Stopping && this->Engine.routes() &&
                           this->ServersKnown && this->Engine.reachesServers();
   if (this->Freshness.VerifiedAt) {
@@ -282,6 +283,7 @@
   Count("relays", EngineCounters.Relays);
   Count("relays_failed", EngineCounters.RelaysFailed);
   Count("relays_received", EngineCounters.RelaysReceived);
+  Count("attempts_unassigned", EngineCounters.Borrowed);
   for (size_t I = 0; I < forward::RefusalReasonCount; ++I) {
     Count("refusals", EngineCounters.Refusals[I],
           {{"reason",
@@ -322,6 +324,7 @@
   Add("held_bytes", static_cast<double>(this->Ledger->heldBytes()));
   Add("held_bytes_limit", static_cast<double>(this->Ledger->maxBytes()));
   Add("instances", static_cast<double>(this->Fleet->instances(Clock::now())));
+  Add("capacity_weight", this->Fleet->capacityWeight(Clock::now()));
   Add("routes_observed", static_cast<double>(this->Engine.observedRoutes()));
   Add("backend_servers", static_cast<double>(this->Engine.servers()));
   forward::EvacuationLoad Evacuated = this->Engine.evacuationLoad();
@@ -329,6 +332,8 @@
       static_cast<double>(this->Engine.evacuated().size()));
   Add("evacuated_servers", static_cast<double>(Evacuated.Servers));
   Add("evacuated_attempts", static_cast<double>(Evacuated.Attempts));
+  Add("backend_servers_assigned",
+      static_cast<double>(this->Engine.assignedServers()));
   Add("reaches_servers", this->Engine.reachesServers() ? 1 : 0);
   Add("peer_connections", static_cast<double>(this->PeerLinks.connections()));
   Add("connections", static_cast<double>(this->Upstream.connections()));
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -4,6 +4,7 @@
 #include "forward/route_table_func.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -63,6 +64,7 @@
     Pool.ColdRate = Spec.ColdRate;
   }
   this->refreshColdShares();
+  this->AssignmentsDue = true;
   std::set<std::string_view> Names;
   for (const Route &Known : this->Table->Routes) {
     Names.insert(Known.Name);
@@ -84,10 +86,20 @@
   }
   markEvacuated(this->Servers, this->Evacuated);
   this->updateColdStates(Now, Out);
+  this->AssignmentsDue = true;
+  this->updateAssignments(Out);
 }
 
-void Engine::onInstances(size_t Instances) {
-  this->Instances = std::max<size_t>(1, Instances);
+void Engine::onInstances(size_t Instances, double Weight) {
+  Instances = std::max<size_t>(1, Instances);
+  this->AssignmentsDue |=
+      this->Instances != Instances || this->CapacityWeight != Weight;
+  this->Instances = Instances;
+  this->CapacityWeight = Weight;
+  // Rounded up, so that the parts of all instances stay within the limit.
+  this->LimitParts = std::max<size_t>(
+      1,
+      static_cast<size_t>(std::ceil(static_cast<double>(Instances) / Weight)));
 }
 
 CallId Engine::onRequest(TimePoint Now, const CallRequest &Request,
@@ -194,6 +206,8 @@
 }
 
 void Engine::probeServers(TimePoint Now, Actions &Out) {
+  this->updateAssignments(Out);
+  this->returnBorrowed(Out);
   for (const auto &[Id, Backend] : this->Servers.all()) {
     bool Due = Backend->Unreachable && !Backend->Probing &&
                Backend->EjectedUntil <= Now && !Backend->Entry.Leaving &&
@@ -209,6 +223,7 @@
 
 void Engine::probe(Server &Suspect, Actions &Out) {
   Suspect.Probing = true;
+  Suspect.Borrowed = !Suspect.Assigned;
   ++this->Counters.Probes;
   Out.push_back(ProbeConnection{Suspect.Key, Suspect.Entry.Address});
 }
--- a/src/forward/engine_admission.cpp
+++ b/src/forward/engine_admission.cpp
@@ -75,7 +75,7 @@
   TimePoint RetryAt = Now + NoServerRetryAfter;
   for (Part &Entry : CurrentCall.Parts) {
     auto Unreachable = unreachableUntil(Now, *Entry.Pool, CurrentCall.Allowed);
-    auto Limited = rateLimitedUntil(Now, *Entry.Pool, this->Instances,
+    auto Limited = rateLimitedUntil(Now, *Entry.Pool, this->LimitParts,
                                     CurrentCall.Allowed);
     this->setRateLimited(Now, Entry,
                          Limited && isWaitTooLong(*Limited, CurrentCall));
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -53,6 +53,8 @@
 /** Fraction of the connections that may be used; the rest is reserved, for
  * example for an instance that has just started. */
 constexpr double UsableConnectionShare = 0.9;
+/** Smallest part of an instance, relative to an equal part. */
+constexpr double MinCapacityWeight = 0.5;
 
 /** Servers discard a part of a fan-out after this multiple of the route's
  * target latency, because the answer has usually been sent without it by then.
@@ -97,8 +99,13 @@
 }
 
 uint32_t Engine::maxOutstanding(const ServicePool &Pool) const {
-  double Allowed = Pool.MaxConnections * UsableConnectionShare /
-                   static_cast<double>(this->Instances);
+  double Usable = Pool.MaxConnections * UsableConnectionShare;
+  double Equal = Usable / static_cast<double>(this->Instances);
+  // The smallest instances take one connection even if their part is less, so
+  // the parts differ only where each gets a whole one.
+  double Allowed = Equal * MinCapacityWeight >= 1
+                       ? Usable / static_cast<double>(this->LimitParts)
+                       : Equal;
   return std::max(1U, static_cast<uint32_t>(Allowed));
 }
 
@@ -158,7 +165,7 @@
   Criteria.Expected = this->typicalLatency(*CurrentCall.MatchedRoute);
   Criteria.Domain = this->Options.Domain;
   Criteria.MaxOutstanding = this->maxOutstanding(*CurrentPart.Pool);
-  Criteria.Instances = this->Instances;
+  Criteria.Instances = this->LimitParts;
   Criteria.Avoid = {Tried.data(), Tried.size()};
   Criteria.Allowed = CurrentCall.Allowed;
   Criteria.Idempotent = CurrentCall.MatchedRoute->Idempotent;
@@ -187,7 +194,7 @@
   auto Consider = [&](Server *Tried) {
     if (Tried != nullptr && Tried->Entry.Service == CurrentPart.Pool->Service &&
         isUsable(*Tried, CurrentCall.Allowed) &&
-        acceptsAt(Now, *Tried, this->Instances) <= Now &&
+        acceptsAt(Now, *Tried, this->LimitParts) <= Now &&
         hasRoomForBody(*Tried, CurrentCall.BodyBytes,
                        maxBodyBytes(CurrentCall))) {
       Last = Tried;
@@ -215,7 +222,7 @@
   bool MayBecomeAvailable =
       distinctServers(CurrentPart) < CurrentCall.MatchedRoute->MaxAttempts &&
       hasUsableReplica(*CurrentPart.Pool, CurrentCall.Allowed);
-  auto Limited = rateLimitedUntil(Now, *CurrentPart.Pool, this->Instances,
+  auto Limited = rateLimitedUntil(Now, *CurrentPart.Pool, this->LimitParts,
                                   CurrentCall.Allowed);
   this->setRateLimited(Now, CurrentPart, Limited.has_value());
   CurrentPart.PausedUntil =
@@ -259,7 +266,7 @@
   }
   if (CurrentPart.PossiblyDelivered > 0) {
     if (!CurrentPart.Pool->Budget.tryTake(limits::ExtraAttemptKind::Retry,
-                                          this->Options.Extra, this->Instances,
+                                          this->Options.Extra, this->LimitParts,
                                           Now)) {
       ++this->Counters.RetriesDenied;
       CurrentPart.WakeAt = Now + BudgetRecheckDelay;
@@ -280,11 +287,13 @@
   ++CurrentPart.PossiblyRun;
   CurrentPart.Phase = PartPhase::InFlight;
   CurrentPart.WakeAt = Now + this->hedgeDelay(*CurrentCall.MatchedRoute);
+  Backend.Borrowed = !Backend.Assigned;
+  this->Counters.Borrowed += Backend.Borrowed ? 1 : 0;
   Backend.Outstanding.push_back(
       {Ref, Now, this->typicalLatency(*CurrentCall.MatchedRoute),
        CurrentCall.BodyBytes});
   if (Backend.RateLimit) {
-    limits::takeTurn(*Backend.RateLimit, Now, this->Instances);
+    limits::takeTurn(*Backend.RateLimit, Now, this->LimitParts);
   }
   if (isColdLimited(Now, Backend)) {
     limits::takeColdTurn(*Backend.ColdShare, Now);
@@ -321,7 +330,7 @@
     return;
   }
   if (!CurrentPart.Pool->Budget.tryTake(limits::ExtraAttemptKind::Hedge,
-                                        this->Options.Extra, this->Instances,
+                                        this->Options.Extra, this->LimitParts,
                                         Now)) {
     ++this->Counters.HedgesDenied;
     CurrentPart.WakeAt = Now + BudgetRecheckDelay;
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -25,6 +25,7 @@
   limits::ExtraAttemptLimits Extra;
   RegionMap Regions = {}; ///< Of failure domains; may lack some.
   limits::ColdLimits Cold = {};
+  std::string Instance = ""; ///< Id of this instance.
 };
 
 /** Counters of an engine; never reset. */
@@ -53,6 +54,8 @@
   uint64_t Relays = 0;         ///< Calls passed on to other instances.
   uint64_t RelaysFailed = 0;   ///< Without an answer of backend servers.
   uint64_t RelaysReceived = 0; ///< Calls passed on by other instances.
+  /** Attempts at servers that this instance is not assigned to. */
+  uint64_t Borrowed = 0;
   std::array<uint64_t, RefusalReasonCount> Refusals{};
 };
 
@@ -105,8 +108,15 @@
   /**
    * Sets the number of instances, which share budgets and connections.
    * @param Instances Instances including this one.
+   * @param Weight Part of this instance, relative to an equal part.
    */
-  void onInstances(size_t Instances);
+  void onInstances(size_t Instances, double Weight = 1);
+
+  /**
+   * Sets the number of instances in the own failure domain.
+   * @param Instances Instances including this one.
+   */
+  void onDomainInstances(size_t Instances);
 
   /**
    * Replaces the list of instances that may send requests to cold servers.
@@ -281,6 +291,8 @@
   EvacuationLoad evacuationLoad() const {
     return countEvacuated(this->Servers);
   }
+  /** @return Number of listed servers that this instance connects to. */
+  size_t assignedServers() const;
   /** @return Record of requests that crash backend servers. */
   const CrashRecord &crashes() const { return this->Crashes; }
   /** @return Current counters. */
@@ -342,6 +354,13 @@
   base::Duration attemptTimeout(base::TimePoint Now,
                                 const Call &CurrentCall) const;
 
+  // Servers that this instance connects to (engine_subset.cpp).
+  /** Chooses the servers that this instance connects to, if the servers or the
+   * numbers of instances have changed. */
+  void updateAssignments(Actions &Out);
+  /** Closes the connections to unassigned servers that are not in use. */
+  void returnBorrowed(Actions &Out);
+
   // Replies (engine_replies.cpp).
   /** Opens a connection to a server that may have crashed. */
   void probe(Server &Suspect, Actions &Out);
@@ -418,6 +437,13 @@
   Reachability Links;
   size_t Instances = 1;
   limits::ColdMembers Members;
+  /** Part of this instance in common limits, relative to an equal part. */
+  double CapacityWeight = 1;
+  /** This instance takes one part in so many of a common limit; the number of
+   * instances, if their capacities are equal. */
+  size_t LimitParts = 1;
+  size_t DomainInstances = 1;
+  bool AssignmentsDue = false; ///< updateAssignments() has something to do.
   CrashRecord Crashes;
   EngineCounters Counters;
   std::unordered_map<uint64_t, std::unique_ptr<Call>> Calls;
--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -2,6 +2,7 @@
 
 #include "forward/cold_state_func.h"
 #include "forward/placement_func.h"
+#include "forward/server_speed_func.h"
 #include "limits/server_memory_func.h"
 
 #include <algorithm>
@@ -15,14 +16,9 @@
 
 namespace {
 
-/** Weight of a new observation in the moving averages. */
+/** Weight of a new observation in the smoothed success rate. */
 constexpr double Smoothing = 0.25;
-/** Weight of a latency ratio above StallFactor, which may be due to a pause: a
- * single pause says little about a server's speed. */
-constexpr double OutlierSmoothing = 0.12;
-/** Upper bound of the observed latency ratio, for the same reason. */
-constexpr double MaxLatencyRatio = 4;
-/** Half-life of the moving averages of a server without new observations. */
+/** Half-life of the success rate of a server without new observations. */
 constexpr double ObservationHalfLifeMs = 4'000;
 /** Half-life of a load report; the typical time that a request spends at a
  * server. */
@@ -32,8 +28,7 @@
 constexpr double OtherDomainMs = 3;
 constexpr double OtherDomainFactor = 1.25;
 /** A server is considered stalled if an attempt exceeds its typical latency by
- * this factor plus this margin. The factor is also the latency ratio above
- * which OutlierSmoothing applies. */
+ * this factor plus this margin. */
 constexpr double StallFactor = 2.5;
 constexpr double StallMarginMs = 12;
 /** Expected remaining duration of a stall. */
@@ -80,10 +75,9 @@
 /** @return Estimated time to execute one request, without queueing. */
 double executionMs(TimePoint Now, const Server &Backend,
                    Duration TypicalLatency) {
-  Duration Age = Now - Backend.ObservedAt;
   double Result =
       toMilliseconds(TypicalLatency) *
-      std::max(MinLatencyFactor, decayTowards(Backend.LatencyFactor, 1, Age));
+      std::max(MinLatencyFactor, currentSlowness(Backend.Speed, Now));
   return Result * statedSlowness(Now, Backend);
 }
 
@@ -156,6 +150,21 @@
          Backend.Outstanding.empty();
 }
 
+/** @return Whether a server that the instance is assigned to is available, now
+ * or once its attempts have ended. */
+bool hasAvailableAssigned(const ServicePool &Pool,
+                          const ReplicaCriteria &Criteria) {
+  return std::any_of(
+      Pool.Servers.begin(), Pool.Servers.end(), [&](const Server *Entry) {
+        return Entry->Assigned && isUsable(*Entry) && !Entry->Unreachable &&
+               !onProbation(*Entry) && !isStalled(Criteria.Now, *Entry) &&
+               Criteria.Now >= Entry->BusyUntil &&
+               isWithinRateLimit(*Entry, Criteria) &&
+               std::find(Criteria.Avoid.begin(), Criteria.Avoid.end(),
+                         Entry->Key) == Criteria.Avoid.end();
+      });
+}
+
 void eject(TimePoint Now, Server &Backend) {
   uint32_t Doublings =
       std::min(Backend.Failures, EjectAfterFailures + MaxEjectionDoublings);
@@ -174,15 +183,9 @@
                     const OutstandingAttempt &Ended, bool LowerBound) {
   double Expected = std::max(0.5, toMilliseconds(Ended.Expected));
   double Ratio = toMilliseconds(Now - Ended.SentAt) / Expected;
-  double Current =
-      decayTowards(Backend.LatencyFactor, 1, Now - Backend.ObservedAt);
-  Ratio = withoutStatedSlowness(Ratio, statedSlowness(Now, Backend), Current);
-  if (LowerBound && Ratio <= Current) {
-    return;
-  }
-  double Weight = Ratio > StallFactor ? OutlierSmoothing : Smoothing;
-  Backend.LatencyFactor =
-      Current + Weight * (std::min(Ratio, MaxLatencyRatio) - Current);
+  Ratio = withoutStatedSlowness(Ratio, statedSlowness(Now, Backend),
+                                currentSlowness(Backend.Speed, Now));
+  observeSpeed(Backend.Speed, Now, Ratio, LowerBound);
 }
 
 } // namespace
@@ -222,15 +225,17 @@
 }
 
 bool isStalled(TimePoint Now, const Server &Backend) {
-  for (const OutstandingAttempt &Attempt : Backend.Outstanding) {
-    double TypicalMs = toMilliseconds(Attempt.Expected) *
-                       std::clamp(Backend.LatencyFactor, 1.0, 3.0);
-    if (toMilliseconds(Now - Attempt.SentAt) >
-        TypicalMs * StallFactor + StallMarginMs) {
-      return true;
-    }
+  if (Backend.Outstanding.empty()) {
+    return false;
   }
-  return false;
+  double Slowness = std::clamp(currentSlowness(Backend.Speed, Now), 1.0, 3.0);
+  return std::any_of(Backend.Outstanding.begin(), Backend.Outstanding.end(),
+                     [&](const OutstandingAttempt &Attempt) {
+                       double TypicalMs =
+                           toMilliseconds(Attempt.Expected) * Slowness;
+                       return toMilliseconds(Now - Attempt.SentAt) >
+                              TypicalMs * StallFactor + StallMarginMs;
+                     });
 }
 
 Server *chooseReplica(const ServicePool &Pool, const ReplicaCriteria &Criteria,
@@ -239,8 +244,10 @@
   double BestCost = 0;
   bool BestHealthy = false;
   uint32_t Ties = 0;
+  bool AssignedOnly = hasAvailableAssigned(Pool, Criteria);
   for (Server *Candidate : Pool.Servers) {
-    if (!isCandidate(*Candidate, Criteria)) {
+    if (!isCandidate(*Candidate, Criteria) ||
+        (AssignedOnly && !Candidate->Assigned)) {
       continue;
     }
     bool Healthy = isHealthy(*Candidate, Criteria);
--- a/src/forward/server_set.cpp
+++ b/src/forward/server_set.cpp
@@ -105,6 +105,15 @@
   return Found == this->Servers.end() ? nullptr : Found->second.get();
 }
 
+std::vector<ServicePool *> ServerSet::pools() {
+  std::vector<ServicePool *> Result;
+  Result.reserve(this->Pools.size());
+  for (auto &[Name, Pool] : this->Pools) {
+    Result.push_back(&Pool);
+  }
+  return Result;
+}
+
 Server &ServerSet::add(base::TimePoint Now, const ServerEntry &Entry) {
   auto Added = std::make_unique<Server>();
   Added->Key = ServerKey(this->NextKey++);
@@ -114,6 +123,8 @@
             this->FirstListed ? this->pool(Entry.Service).ColdTime
                               : std::chrono::milliseconds(0));
   Added->ObservedAt = Now;
+  Added->Speed.LastingAt = Now;
+  Added->Speed.MomentAt = Now;
   Server &Result = *Added;
   this->ById[Entry.Id.Value] = &Result;
   this->Pools[Entry.Service].Servers.push_back(&Result);
--- a/src/forward/server_type.h
+++ b/src/forward/server_type.h
@@ -3,6 +3,7 @@
 
 #include "base/id_type.h"
 #include "base/time_type.h"
+#include "forward/server_speed_type.h"
 #include "limits/cold_share_func.h"
 #include "limits/rate_share_func.h"
 
@@ -72,6 +73,10 @@
   bool StatedLeaving = false;
   /** It has rejected a request and gets no others until then. */
   base::TimePoint PausedUntil;
+  /** This instance connects to it; others are used only if none of the assigned
+   * servers is available, and not longer. */
+  bool Assigned = true;
+  bool Borrowed = false; ///< Was used or probed while not assigned.
   base::TimePoint ColdUntil;
   bool ColdByReply = false; ///< ColdUntil is what a reply stated.
   bool ColdLogged = false;  ///< It was logged that it is cold.
@@ -81,10 +86,10 @@
   double WorkFactor = 1; ///< Last stated execution time, 1 as usual.
   base::TimePoint WorkStatedAt;
   std::vector<OutstandingAttempt> Outstanding;
-  double LatencyFactor = 1;   ///< Smoothed ratio to the typical latency.
   double SuccessRate = 1;     ///< Smoothed success rate of attempts.
-  base::TimePoint ObservedAt; ///< Last change of LatencyFactor or SuccessRate.
-  uint32_t Failures = 0;      ///< Consecutive failures.
+  base::TimePoint ObservedAt; ///< Last change of SuccessRate.
+  ServerSpeed Speed;
+  uint32_t Failures = 0; ///< Consecutive failures.
   /** End of the last ejection; unset after a success or a rejection. */
   base::TimePoint EjectedUntil;
   /** The last connection attempt failed. Until a connection succeeds, the
