--- a/src/forward/server_set_base.h
+++ b/src/forward/server_set_base.h
@@ -3,6 +3,7 @@
 
 #include "forward/server_type.h"
 #include "limits/shared_budget_base.h"
+#include "limits/target_queue_base.h"
 
 #include <map>
 #include <memory>
@@ -18,6 +19,7 @@
   std::vector<Server *> Servers; ///< Currently listed servers.
   uint32_t MaxConnections = 8; ///< To each server, from all instances together.
   limits::SharedBudget Budget;
+  limits::TargetQueue Waiting; ///< Parts that wait for one of the servers.
 };
 
 /**
