Follow a server whose speed changes eightfold within a few replies

One slow reply moved the estimate by an eighth and at most to four times the typical latency, so that no estimate exceeded a target while all servers were six times slower. A reply that is slow although its request was sent after another slow reply cannot be due to the same pause: it counts half, up to 16 times. Reports of queues fade with the server's execution time, and a server that sheds is avoided until its queue can have emptied (60 ms to 1 s).

--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -18,6 +18,10 @@
 constexpr double OutlierSmoothing = 0.12;
 /** Upper bound of the observed latency ratio, for the same reason. */
 constexpr double MaxLatencyRatio = 4;
+/** Weight and upper bound if an attempt that was sent after a slow reply is
+ * slow too: a pause would have ended, so the server itself is slow. */
+constexpr double RepeatedSmoothing = 0.5;
+constexpr double MaxRepeatedRatio = 16;
 /** Half-life of the moving averages of a server without new observations. */
 constexpr double ObservationHalfLifeMs = 4'000;
 /** Half-life of a load report; the typical time that a request spends at a
@@ -36,8 +40,9 @@
 constexpr double StallMarginMs = 12;
 /** Expected remaining duration of a stall. */
 constexpr double RemainingStallMs = 120;
-/** Time for which a server is avoided after shedding load. */
-constexpr Duration BusyDuration = std::chrono::milliseconds(60);
+/** Bounds of the time for which a server is avoided after shedding load. */
+constexpr Duration MinBusyDuration = std::chrono::milliseconds(60);
+constexpr Duration MaxBusyDuration = std::chrono::milliseconds(1'000);
 /** Consecutive failures after which a server is ejected; a failed connection
  * ejects it immediately. */
 constexpr uint32_t EjectAfterFailures = 3;
@@ -70,8 +75,9 @@
   }
   double Reported = Backend.Load->Running + Backend.Load->Waiting;
   double OtherAttempts = std::max(0.0, Reported - Backend.OutstandingAtLoad);
-  double Weight =
-      std::exp2(-toMilliseconds(Now - Backend.LoadAt) / LoadHalfLifeMs);
+  // The queue of a slow server changes more slowly.
+  double HalfLifeMs = LoadHalfLifeMs * std::max(1.0, Backend.LatencyFactor);
+  double Weight = std::exp2(-toMilliseconds(Now - Backend.LoadAt) / HalfLifeMs);
   return OwnAttempts + OtherAttempts * Weight;
 }
 
@@ -178,9 +184,32 @@
   if (LowerBound && Ratio <= Current) {
     return;
   }
-  double Weight = Ratio > StallFactor ? OutlierSmoothing : Smoothing;
-  Backend.LatencyFactor =
-      Current + Weight * (std::min(Ratio, MaxLatencyRatio) - Current);
+  bool Slow = Ratio > StallFactor;
+  bool Repeated = Slow && Backend.SlowReplyAt.has_value() &&
+                  Ended.SentAt >= *Backend.SlowReplyAt;
+  double Weight = Repeated ? RepeatedSmoothing
+                  : Slow   ? OutlierSmoothing
+                           : Smoothing;
+  // A server that was slow for long is as fast as its latest replies.
+  if (!Slow && Current > MaxLatencyRatio) {
+    Weight = RepeatedSmoothing;
+  }
+  double Bound = Repeated ? MaxRepeatedRatio : MaxLatencyRatio;
+  Backend.LatencyFactor = Current + Weight * (std::min(Ratio, Bound) - Current);
+  if (!Slow) {
+    Backend.SlowReplyAt.reset();
+  } else if (Repeated || !Backend.SlowReplyAt) {
+    Backend.SlowReplyAt = Now;
+  }
+}
+
+/** @return Time in which the server executes what it has queued. */
+Duration emptyingTime(TimePoint Now, const Server &Backend,
+                      Duration TypicalLatency) {
+  double Rounds = std::ceil(estimatedLoad(Now, Backend) / slotCount(Backend));
+  double Ms = executionMs(Now, Backend, TypicalLatency) * Rounds;
+  return std::clamp(base::fromMilliseconds(Ms), MinBusyDuration,
+                    MaxBusyDuration);
 }
 
 } // namespace
@@ -196,6 +225,20 @@
   return base::fromMilliseconds(expectedMs(Now, Backend, TypicalLatency));
 }
 
+Duration executionTime(TimePoint Now, const Server &Backend,
+                       Duration TypicalLatency) {
+  return base::fromMilliseconds(executionMs(Now, Backend, TypicalLatency));
+}
+
+Duration queueingTime(TimePoint Now, const Server &Backend,
+                      Duration TypicalLatency, double Additional) {
+  double Queued =
+      estimatedLoad(Now, Backend) + Additional + 1 - slotCount(Backend);
+  double ExecutionMs = executionMs(Now, Backend, TypicalLatency);
+  return base::fromMilliseconds(ExecutionMs * std::max(0.0, Queued) /
+                                slotCount(Backend));
+}
+
 bool hasFreeSlot(TimePoint Now, const Server &Backend) {
   return estimatedLoad(Now, Backend) + 1 <= slotCount(Backend);
 }
@@ -308,7 +351,7 @@
   case AttemptOutcome::Shed:
     Backend.Unanswered = false;
     observeOutcome(Now, Backend, 0);
-    Backend.BusyUntil = Now + BusyDuration;
+    Backend.BusyUntil = Now + emptyingTime(Now, Backend, Ended.Expected);
     Backend.EjectedUntil = TimePoint();
     break;
   case AttemptOutcome::Failed:
--- a/src/forward/replica_func.h
+++ b/src/forward/replica_func.h
@@ -60,6 +60,27 @@
 base::Duration expectedTime(base::TimePoint Now, const Server &Backend,
                             base::Duration TypicalLatency);
 
+/**
+ * Estimates the time to execute a request without queueing.
+ * @param Now Current time.
+ * @param Backend The server.
+ * @param TypicalLatency Typical latency of the route.
+ * @return The expected time.
+ */
+base::Duration executionTime(base::TimePoint Now, const Server &Backend,
+                             base::Duration TypicalLatency);
+
+/**
+ * Estimates how long a request waits for a slot.
+ * @param Now Current time.
+ * @param Backend The server.
+ * @param TypicalLatency Typical latency of the requests at the server.
+ * @param Additional Requests that arrive before it.
+ * @return The expected time.
+ */
+base::Duration queueingTime(base::TimePoint Now, const Server &Backend,
+                            base::Duration TypicalLatency, double Additional);
+
 /**
  * Checks whether the server would execute a new attempt immediately.
  * @param Now Current time.
--- a/src/forward/server_type.h
+++ b/src/forward/server_type.h
@@ -65,8 +65,10 @@
   bool Misdirected = false; ///< Another server is using its address.
   base::TimePoint ColdUntil;
   std::vector<OutstandingAttempt> Outstanding;
-  double LatencyFactor = 1;   ///< Smoothed ratio to the typical latency.
-  double SuccessRate = 1;     ///< Smoothed success rate of attempts.
+  double LatencyFactor = 1; ///< Smoothed ratio to the typical latency.
+  double SuccessRate = 1;   ///< Smoothed success rate of attempts.
+  /** Time of the last reply if it was much slower than expected. */
+  std::optional<base::TimePoint> SlowReplyAt;
   base::TimePoint ObservedAt; ///< Last change of LatencyFactor or SuccessRate.
   uint32_t Failures = 0;      ///< Consecutive failures.
   /** End of the last ejection; unset after a success or a rejection. */
