Refuse by what is left, and let less urgent requests yield

Cause: with 24 instances each may have two requests at a server of six slots; after that no estimate saw the queue, and nothing was refused at six times slower shards and 2.8 times the demand. Priorities were not read.

Now parts without a free connection are estimated by the pace of the service and by what waits ahead; routes to one service are covered; a call yields (lower_priority) while more urgent routes with recent requests would miss their targets, down to a fifth of its requests; connections are kept by the urgent routes' own rate; freed connections go to the next part in order; Retry-After follows from the time until there is room and is spread. Refusals and waiting calls are counted by priority.

--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -232,6 +232,21 @@
           {{"reason",
             forward::toString(static_cast<forward::RefusalReason>(I))}});
   }
+  for (const auto &[Priority, Reasons] : EngineCounters.RefusalsByPriority) {
+    for (size_t I = 0; I < forward::RefusalReasonCount; ++I) {
+      if (Reasons[I] > 0) {
+        Count("refusals_by_priority", Reasons[I],
+              {{"priority", std::to_string(Priority)},
+               {"reason",
+                forward::toString(static_cast<forward::RefusalReason>(I))}});
+      }
+    }
+  }
+  for (const auto &[Priority, Waiting] : this->Engine.waitingByPriority()) {
+    Add("calls_waiting", static_cast<double>(Waiting),
+        {{"priority", std::to_string(Priority)}});
+  }
+  Count("reserved", EngineCounters.Reserved);
   const net::UpstreamCounters &UpstreamCounters = this->Upstream.counters();
   Count("connections_opened", UpstreamCounters.Opened);
   Count("connections_failed", UpstreamCounters.ConnectFailed);
--- a/src/diagnosis/explain.cpp
+++ b/src/diagnosis/explain.cpp
@@ -101,6 +101,10 @@
                       : "the servers' queues were too long or the servers "
                         "refused it; it was not run";
   }
+  if (Reason == "lower_priority") {
+    return "more urgent requests needed the room at its servers; it was not "
+           "run";
+  }
   if (Reason == "quarantined") {
     return "earlier requests with the same content crashed servers";
   }
--- a/src/forward/call_type.h
+++ b/src/forward/call_type.h
@@ -82,9 +82,10 @@
   Quarantined,   ///< Identical requests crashed backend servers.
   Timeout,       ///< No result before the deadline.
   BackendFailed, ///< Backend servers failed; it may have been executed.
+  LowerPriority, ///< More urgent requests need the room at its servers.
 };
 
-inline constexpr size_t RefusalReasonCount = 7;
+inline constexpr size_t RefusalReasonCount = 8;
 
 /** Retry-after time of a refusal due to overload: servers that shed load
  * usually have capacity again within it. */
@@ -110,6 +111,7 @@
 /** Statistics of a call, for its log line. */
 struct CallSummary {
   std::string Route;     ///< Empty if no route matched.
+  uint32_t Priority = 0; ///< Of the route.
   uint64_t Version = 0;  ///< Configuration version; 0 if none.
   uint32_t Shards = 0;   ///< Number of parts; 1 without a fan-out.
   uint32_t Answered = 0; ///< Parts with a successful reply.
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -39,6 +39,8 @@
     return "timeout";
   case RefusalReason::BackendFailed:
     return "backend_failed";
+  case RefusalReason::LowerPriority:
+    return "lower_priority";
   }
   return "unknown";
 }
@@ -64,7 +66,9 @@
   };
   std::erase_if(this->RoundRobinCredits, IsGone);
   std::erase_if(this->Latencies, IsGone);
+  std::erase_if(this->Demands, IsGone);
   this->DeferrableRoutes = findDeferrable(*this->Table);
+  this->UrgentRoutes = findMoreUrgent(*this->Table);
   return true;
 }
 
@@ -129,6 +133,7 @@
   for (Part &Needed : CurrentCall.Parts) {
     Needed.Pool->Budget.recordRequest(Now);
   }
+  limits::recordEvent(this->Demands[MatchedRoute->Name].Offered, Now);
   if (this->admit(Now, CurrentCall, Out)) {
     this->advance(Now, CurrentCall, Out);
   }
--- a/src/forward/engine_admission.cpp
+++ b/src/forward/engine_admission.cpp
@@ -100,46 +100,69 @@
   for (Part *Entry : UnavailableParts) {
     this->omitPart(CurrentCall, *Entry);
   }
-  return !CurrentCall.MatchedRoute->fansOut() ||
-         this->admitByQueueLength(Now, CurrentCall,
+  return this->admitByQueueLength(Now, CurrentCall,
                                   MaxOmitted - UnavailableParts.size(), Out);
 }
 
+Duration Engine::expectedInQueue(TimePoint Now, const Call &CurrentCall,
+                                 uint32_t Index) {
+  const Part &CurrentPart = CurrentCall.Parts[Index];
+  limits::ServicePace Pace = estimatePace(
+      Now, *CurrentPart.Pool, this->typicalLatency(*CurrentCall.MatchedRoute));
+  size_t Ahead =
+      CurrentPart.Pool->Waiting.countAhead(waitingPart(CurrentCall, Index));
+  return expectedTimeInQueue(Pace, Ahead);
+}
+
 bool Engine::admitByQueueLength(TimePoint Now, Call &CurrentCall,
                                 size_t MaxOmitted, Actions &Out) {
+  const Route &MatchedRoute = *CurrentCall.MatchedRoute;
   auto OmitThreshold = std::chrono::duration_cast<Duration>(
-      CurrentCall.MatchedRoute->TargetLatency * OmitThresholdShare);
+      MatchedRoute.TargetLatency * OmitThresholdShare);
   auto RefuseThreshold = std::chrono::duration_cast<Duration>(
-      CurrentCall.MatchedRoute->TargetLatency * RefuseThresholdShare);
-  Duration TypicalLatency = this->typicalLatency(*CurrentCall.MatchedRoute);
+      MatchedRoute.TargetLatency * RefuseThresholdShare);
+  Duration TypicalLatency = this->typicalLatency(MatchedRoute);
+  auto Urgent = this->urgentDemands(Now, MatchedRoute);
+  std::vector<size_t> Pressed(Urgent.size());
   std::vector<std::pair<Duration, Part *>> LateParts;
   size_t Overloaded = 0;
-  for (Part &Entry : CurrentCall.Parts) {
-    Server *Best =
-        Entry.Phase == PartPhase::Waiting
-            ? this->choose(Now, CurrentCall, Entry, ServerChoice::Any)
-            : nullptr;
-    if (Best == nullptr) {
+  for (uint32_t I = 0; I < CurrentCall.Parts.size(); ++I) {
+    Part &Entry = CurrentCall.Parts[I];
+    if (Entry.Phase != PartPhase::Waiting) {
       continue;
     }
-    Duration Expected = expectedTime(Now, *Best, TypicalLatency);
+    const Server *Best =
+        this->choose(Now, CurrentCall, Entry, ServerChoice::Any);
+    Duration Expected = Best != nullptr
+                            ? expectedTime(Now, *Best, TypicalLatency)
+                            : this->expectedInQueue(Now, CurrentCall, I);
     if (Expected > OmitThreshold) {
       LateParts.emplace_back(Expected, &Entry);
     }
     // Without outstanding attempts of this instance the estimate may be out of
     // date, and only a new attempt can correct it.
-    Overloaded +=
-        Expected > RefuseThreshold && hasLongQueue(Now, *Best) ? 1 : 0;
+    bool Known = Best == nullptr || hasLongQueue(Now, *Best);
+    Overloaded += Expected > RefuseThreshold && Known ? 1 : 0;
+    for (size_t J = 0; J < Urgent.size(); ++J) {
+      const UrgentDemand &Demand = Urgent[J].second;
+      bool TooLate = Best == nullptr
+                         ? Expected > Demand.Target
+                         : isPressed(Now, *Best, TypicalLatency, Demand,
+                                     Entry.Pool->Servers.size());
+      Pressed[J] += TooLate ? 1 : 0;
+    }
   }
+  std::sort(LateParts.begin(), LateParts.end(), std::greater<>());
   if (Overloaded > MaxOmitted) {
-    uncountUnsentRelay(Now, CurrentCall);
-    this->refuse(CurrentCall.Id,
-                 {RefusalReason::Overloaded, false, OverloadRetryAfter}, Out,
-                 summarise(CurrentCall));
-    this->Calls.erase(CurrentCall.Id.Value);
+    Duration RoomIn = LateParts[MaxOmitted].first - OmitThreshold;
+    this->refuseForQueue(CurrentCall, RefusalReason::Overloaded, RoomIn, Out);
+    return false;
+  }
+  if (this->yieldsToUrgent(Now, CurrentCall, Urgent, Pressed)) {
+    this->refuseForQueue(CurrentCall, RefusalReason::LowerPriority,
+                         TypicalLatency, Out);
     return false;
   }
-  std::sort(LateParts.begin(), LateParts.end(), std::greater<>());
   LateParts.resize(std::min(LateParts.size(), MaxOmitted));
   for (auto &[Expected, Entry] : LateParts) {
     this->omitPart(CurrentCall, *Entry);
@@ -147,6 +170,25 @@
   return true;
 }
 
+void Engine::countRefusal(const Call &CurrentCall, RefusalReason Reason) {
+  auto Index = static_cast<size_t>(Reason);
+  ++this->Counters.Refusals[Index];
+  uint32_t Priority = CurrentCall.MatchedRoute->Priority;
+  ++this->Counters.RefusalsByPriority[Priority][Index];
+}
+
+void Engine::refuseForQueue(Call &CurrentCall, RefusalReason Reason,
+                            Duration RoomIn, Actions &Out) {
+  Refusal Refused{Reason, false,
+                  chooseRetryAfter(RoomIn,
+                                   CurrentCall.MatchedRoute->TargetLatency,
+                                   this->Generator)};
+  uncountUnsentRelay(CurrentCall.ArrivedAt, CurrentCall);
+  this->countRefusal(CurrentCall, Reason);
+  Out.push_back(RespondCall{CurrentCall.Id, Refused, summarise(CurrentCall)});
+  this->Calls.erase(CurrentCall.Id.Value);
+}
+
 void Engine::omitPart(Call &CurrentCall, Part &OmittedPart) {
   OmittedPart.Phase = PartPhase::Failed;
   ++CurrentCall.Failed;
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -229,8 +229,19 @@
     return;
   }
   Server *Backend = this->chooseForAttempt(Now, CurrentCall, CurrentPart);
+  limits::WaitingPart Entry = waitingPart(CurrentCall, Index);
   if (Backend == nullptr) {
     this->waitForServer(Now, CurrentCall, CurrentPart);
+    if (CurrentPart.Phase == PartPhase::Waiting) {
+      CurrentPart.Pool->Waiting.push(Entry);
+    }
+    return;
+  }
+  if (CurrentPart.PossiblyDelivered == 0 &&
+      this->isReserved(Now, CurrentCall, CurrentPart)) {
+    ++this->Counters.Reserved;
+    CurrentPart.Pool->Waiting.push(Entry);
+    CurrentPart.WakeAt = Now + BusyRecheckDelay;
     return;
   }
   if (CurrentPart.PossiblyDelivered == 0 &&
@@ -238,6 +249,7 @@
     // Counts each part once: WakeAt is unset before the first check.
     this->Counters.Deferred += CurrentPart.WakeAt == TimePoint() ? 1 : 0;
     CurrentPart.WakeAt = Now + DeferRecheckDelay;
+    CurrentPart.Pool->Waiting.push(Entry);
     return;
   }
   if (CurrentPart.PossiblyDelivered > 0) {
@@ -250,6 +262,7 @@
     }
     ++this->Counters.Retries;
   }
+  CurrentPart.Pool->Waiting.remove(Entry, true);
   this->send(Now, CurrentCall, Index, *Backend, Out);
 }
 
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -6,7 +6,9 @@
 #include "forward/crash_record_base.h"
 #include "forward/peer_set_base.h"
 #include "forward/reachability_base.h"
+#include "forward/room_func.h"
 #include "limits/latency_model_base.h"
+#include "limits/recent_rate_func.h"
 
 #include <array>
 #include <map>
@@ -49,6 +51,10 @@
   uint64_t RelaysFailed = 0;     ///< Without an answer of backend servers.
   uint64_t RelaysReceived = 0;   ///< Calls passed on by other instances.
   std::array<uint64_t, RefusalReasonCount> Refusals{};
+  /** Refusals and failures, by priority of the route. */
+  std::map<uint32_t, std::array<uint64_t, RefusalReasonCount>>
+      RefusalsByPriority;
+  uint64_t Reserved = 0; ///< Checks at which a part left room for urgent ones.
 };
 
 /**
@@ -242,6 +248,8 @@
   size_t observedRoutes() const { return this->Latencies.size(); }
   /** @return Number of calls without a final answer. */
   size_t callsInProgress() const { return this->Calls.size(); }
+  /** @return Number of calls with parts that wait for a server, by priority. */
+  std::map<uint32_t, size_t> waitingByPriority() const;
   /** @return Number of listed servers. */
   size_t servers() const { return this->Servers.size(); }
   /** @return Record of requests that crash backend servers. */
@@ -274,9 +282,39 @@
   bool admit(base::TimePoint Now, Call &CurrentCall, Actions &Out);
   bool admitByQueueLength(base::TimePoint Now, Call &CurrentCall,
                           size_t MaxOmitted, Actions &Out);
+  /** Counts a refusal or failure of a call. */
+  void countRefusal(const Call &CurrentCall, RefusalReason Reason);
+  void refuseForQueue(Call &CurrentCall, RefusalReason Reason,
+                      base::Duration RoomIn, Actions &Out);
+  /** @return Expected time until the reply of a part. */
+  base::Duration expectedInQueue(base::TimePoint Now, const Call &CurrentCall,
+                                 uint32_t Index);
   void omitPart(Call &CurrentCall, Part &OmittedPart);
   Call *find(uint64_t Id);
 
+  // Order and shares (engine_order.cpp).
+  /** @return The more urgent routes that use the same servers and have recent
+   * requests. */
+  std::vector<std::pair<const Route *, UrgentDemand>>
+  urgentDemands(base::TimePoint Now, const Route &MatchedRoute);
+  /** @return Whether a call is refused so that more urgent ones meet their
+   * targets. */
+  bool yieldsToUrgent(
+      base::TimePoint Now, const Call &CurrentCall,
+      const std::vector<std::pair<const Route *, UrgentDemand>> &Urgent,
+      const std::vector<size_t> &Pressed);
+  static limits::WaitingPart waitingPart(const Call &CurrentCall,
+                                         uint32_t Index);
+  /** @return Whether the last connections to the servers of a part are kept for
+   * more urgent requests. */
+  bool isReserved(base::TimePoint Now, const Call &CurrentCall,
+                  const Part &CurrentPart);
+  /** Starts the next part that waits for a service. */
+  void startWaiting(base::TimePoint Now, ServicePool &Pool, Actions &Out);
+  /** @return The next part that still waits, or nothing. */
+  std::optional<limits::WaitingPart> nextWaiting(base::TimePoint Now,
+                                                 ServicePool &Pool);
+
   // Attempts (engine_attempts.cpp).
   base::Duration typicalLatency(const Route &MatchedRoute);
   base::Duration hedgeDelay(const Route &MatchedRoute);
@@ -305,6 +343,8 @@
                                 const Call &CurrentCall) const;
 
   // Replies (engine_replies.cpp).
+  void handleReply(base::TimePoint Now, const AttemptRef &Ref, ServerKey Key,
+                   Reply &&Received, Actions &Out);
   /** Opens a connection to a server that may have crashed. */
   void probe(Server &Suspect, Actions &Out);
   void recordStatements(base::TimePoint Now, Server &Backend,
@@ -362,6 +402,10 @@
   /** Current weights of smooth weighted round-robin, by route and service. */
   std::map<std::string, std::map<std::string, double>> RoundRobinCredits;
   std::unordered_set<std::string> DeferrableRoutes;
+  /** More urgent routes that use the same servers, by route; they point into
+   * Table. */
+  std::unordered_map<std::string, std::vector<const Route *>> UrgentRoutes;
+  std::unordered_map<std::string, limits::RouteDemand> Demands; ///< By route.
   std::priority_queue<Wake, std::vector<Wake>, std::greater<>> Wakes;
   bool AdmissionStopped = false;
   /** Latest deadline of a call. */
--- a/src/forward/engine_progress.cpp
+++ b/src/forward/engine_progress.cpp
@@ -83,7 +83,7 @@
   }
   CallResult Result = this->buildResult(CurrentCall, TimedOut);
   if (const auto *Reason = std::get_if<Refusal>(&Result)) {
-    ++this->Counters.Refusals[static_cast<size_t>(Reason->Reason)];
+    this->countRefusal(CurrentCall, Reason->Reason);
   } else {
     ++this->Counters.Answers;
   }
@@ -152,6 +152,7 @@
 CallSummary Engine::summarise(const Call &CurrentCall) {
   CallSummary Summary;
   Summary.Route = CurrentCall.MatchedRoute->Name;
+  Summary.Priority = CurrentCall.MatchedRoute->Priority;
   Summary.Version = CurrentCall.Table->Version;
   Summary.Shards = static_cast<uint32_t>(CurrentCall.Parts.size());
   Summary.Answered = CurrentCall.Answered;
--- a/src/forward/engine_replies.cpp
+++ b/src/forward/engine_replies.cpp
@@ -37,6 +37,14 @@
 
 void Engine::onReply(TimePoint Now, const AttemptRef &Ref, ServerKey Key,
                      Reply &&Received, Actions &Out) {
+  this->handleReply(Now, Ref, Key, std::move(Received), Out);
+  if (const Server *Backend = this->Servers.find(Key)) {
+    this->startWaiting(Now, this->Servers.pool(Backend->Entry.Service), Out);
+  }
+}
+
+void Engine::handleReply(TimePoint Now, const AttemptRef &Ref, ServerKey Key,
+                         Reply &&Received, Actions &Out) {
   Call *CurrentCall = this->find(Ref.Call);
   Server *Backend = this->Servers.find(Key);
   bool Rejected = Received.NotExecuted || Received.Misdirected;
--- a/src/forward/route_table.cpp
+++ b/src/forward/route_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <unordered_map>
 
 namespace hickorycrank::forward {
@@ -57,4 +58,37 @@
   return Deferrable;
 }
 
+std::unordered_map<std::string, std::vector<const Route *>>
+findMoreUrgent(const RouteTable &Table) {
+  std::unordered_map<std::string_view, std::vector<const Route *>> Users;
+  auto ForEachService = [](const Route &Entry, const auto &Visit) {
+    for (const std::string &Shard : Entry.Shards) {
+      Visit(Shard);
+    }
+    for (const WeightedService &Choice : Entry.Choices) {
+      Visit(Choice.Service);
+    }
+  };
+  for (const Route &Entry : Table.Routes) {
+    ForEachService(Entry, [&](const std::string &Service) {
+      Users[Service].push_back(&Entry);
+    });
+  }
+  std::unordered_map<std::string, std::vector<const Route *>> Result;
+  for (const Route &Entry : Table.Routes) {
+    std::set<const Route *> MoreUrgent;
+    ForEachService(Entry, [&](const std::string &Service) {
+      for (const Route *Other : Users[Service]) {
+        if (Other->Priority < Entry.Priority) {
+          MoreUrgent.insert(Other);
+        }
+      }
+    });
+    if (!MoreUrgent.empty()) {
+      Result[Entry.Name] = {MoreUrgent.begin(), MoreUrgent.end()};
+    }
+  }
+  return Result;
+}
+
 } // namespace hickorycrank::forward
--- a/src/forward/route_table_func.h
+++ b/src/forward/route_table_func.h
@@ -37,6 +37,16 @@
  */
 std::unordered_set<std::string> findDeferrable(const RouteTable &Table);
 
+/**
+ * Finds the routes that take precedence over others at the same servers.
+ * @param Table The configuration.
+ * @return For each route, the routes with a higher rank that use one of its
+ *   services or shards; they point into the table. Routes without any are left
+ *   out.
+ */
+std::unordered_map<std::string, std::vector<const Route *>>
+findMoreUrgent(const RouteTable &Table);
+
 } // namespace hickorycrank::forward
 
 #endif
