--- a/src/diagnosis/explain.cpp
+++ b/src/diagnosis/explain.cpp
@@ -110,6 +110,10 @@
     return "no server in a region that the route allows in view revision " +
            fieldText(Record, "view_revision") + "; it was not run";
   }
+  if (Reason == "lower_priority") {
+    return "more urgent requests needed the room at its servers; it was not "
+           "run";
+  }
   if (Reason == "quarantined") {
     return "earlier requests with the same content crashed servers";
   }
--- a/src/forward/call_type.h
+++ b/src/forward/call_type.h
@@ -86,9 +86,10 @@
   BackendFailed, ///< Backend servers failed; it may have been executed.
   Evacuated,     ///< The failure domains of all servers are evacuated.
   NoAllowedRegion, ///< No server is in a region that the route allows.
+  LowerPriority,   ///< More urgent requests need the room at its servers.
 };
 
-inline constexpr size_t RefusalReasonCount = 9;
+inline constexpr size_t RefusalReasonCount = 10;
 
 /** Retry-after time of a refusal due to overload: servers that shed load
  * usually have capacity again within it. */
@@ -114,6 +115,7 @@
 /** Statistics of a call, for its log line. */
 struct CallSummary {
   std::string Route;     ///< Empty if no route matched.
+  uint32_t Priority = 0; ///< Of the route.
   uint64_t Version = 0;  ///< Configuration version; 0 if none.
   uint32_t Shards = 0;   ///< Number of parts; 1 without a fan-out.
   uint32_t Answered = 0; ///< Parts with a successful reply.
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -44,6 +44,8 @@
     return "evacuated";
   case RefusalReason::NoAllowedRegion:
     return "no_allowed_region";
+  case RefusalReason::LowerPriority:
+    return "lower_priority";
   }
   return "unknown";
 }
@@ -74,8 +76,10 @@
   };
   std::erase_if(this->RoundRobinCredits, IsGone);
   std::erase_if(this->Latencies, IsGone);
+  std::erase_if(this->Demands, IsGone);
   this->DeferrableRoutes = findDeferrable(*this->Table);
   this->updateFilters();
+  this->UrgentRoutes = findMoreUrgent(*this->Table);
   return true;
 }
 
@@ -156,6 +160,7 @@
   for (Part &Needed : CurrentCall.Parts) {
     Needed.Pool->Budget.recordRequest(Now);
   }
+  limits::recordEvent(this->Demands[MatchedRoute->Name].Offered, Now);
   if (this->admit(Now, CurrentCall, Out)) {
     this->advance(Now, CurrentCall, Out);
   }
--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -33,8 +33,9 @@
 constexpr double StallMarginMs = 12;
 /** Expected remaining duration of a stall. */
 constexpr double RemainingStallMs = 120;
-/** Time for which a server is avoided after shedding load. */
-constexpr Duration BusyDuration = std::chrono::milliseconds(60);
+/** Bounds of the time for which a server is avoided after shedding load. */
+constexpr Duration MinBusyDuration = std::chrono::milliseconds(60);
+constexpr Duration MaxBusyDuration = std::chrono::milliseconds(1'000);
 /** Consecutive failures after which a server is ejected; a failed connection
  * ejects it immediately. */
 constexpr uint32_t EjectAfterFailures = 3;
@@ -67,8 +68,9 @@
   }
   double Reported = Backend.Load->Running + Backend.Load->Waiting;
   double OtherAttempts = std::max(0.0, Reported - Backend.OutstandingAtLoad);
-  double Weight =
-      std::exp2(-toMilliseconds(Now - Backend.LoadAt) / LoadHalfLifeMs);
+  // The queue of a slow server changes more slowly.
+  double HalfLifeMs = LoadHalfLifeMs * std::max(1.0, Backend.LatencyFactor);
+  double Weight = std::exp2(-toMilliseconds(Now - Backend.LoadAt) / HalfLifeMs);
   return OwnAttempts + OtherAttempts * Weight;
 }
 
@@ -185,7 +187,16 @@
   double Ratio = toMilliseconds(Now - Ended.SentAt) / Expected;
   Ratio = withoutStatedSlowness(Ratio, statedSlowness(Now, Backend),
                                 currentSlowness(Backend.Speed, Now));
-  observeSpeed(Backend.Speed, Now, Ratio, LowerBound);
+  observeSpeed(Backend.Speed, Now, Ratio, LowerBound, Ended.SentAt);
+}
+
+/** @return Time in which the server executes what it has queued. */
+Duration emptyingTime(TimePoint Now, const Server &Backend,
+                      Duration TypicalLatency) {
+  double Rounds = std::ceil(estimatedLoad(Now, Backend) / slotCount(Backend));
+  double Ms = executionMs(Now, Backend, TypicalLatency) * Rounds;
+  return std::clamp(base::fromMilliseconds(Ms), MinBusyDuration,
+                    MaxBusyDuration);
 }
 
 } // namespace
@@ -214,6 +225,20 @@
   return base::fromMilliseconds(expectedMs(Now, Backend, TypicalLatency));
 }
 
+Duration executionTime(TimePoint Now, const Server &Backend,
+                       Duration TypicalLatency) {
+  return base::fromMilliseconds(executionMs(Now, Backend, TypicalLatency));
+}
+
+Duration queueingTime(TimePoint Now, const Server &Backend,
+                      Duration TypicalLatency, double Additional) {
+  double Queued =
+      estimatedLoad(Now, Backend) + Additional + 1 - slotCount(Backend);
+  double ExecutionMs = executionMs(Now, Backend, TypicalLatency);
+  return base::fromMilliseconds(ExecutionMs * std::max(0.0, Queued) /
+                                slotCount(Backend));
+}
+
 bool hasFreeSlot(TimePoint Now, const Server &Backend) {
   return estimatedLoad(Now, Backend) + 1 <= slotCount(Backend);
 }
@@ -334,7 +359,7 @@
   case AttemptOutcome::Shed:
     Backend.Unanswered = false;
     observeOutcome(Now, Backend, 0);
-    Backend.BusyUntil = Now + BusyDuration;
+    Backend.BusyUntil = Now + emptyingTime(Now, Backend, Ended.Expected);
     Backend.EjectedUntil = TimePoint();
     break;
   case AttemptOutcome::Failed:
--- a/src/forward/server_set_base.h
+++ b/src/forward/server_set_base.h
@@ -3,6 +3,7 @@
 
 #include "forward/server_type.h"
 #include "limits/shared_budget_base.h"
+#include "limits/target_queue_base.h"
 
 #include <map>
 #include <memory>
@@ -21,6 +22,7 @@
   std::chrono::milliseconds ColdTime{0};
   double ColdRate = 0; ///< Of a cold server, from all instances; 0: no limit.
   limits::SharedBudget Budget;
+  limits::TargetQueue Waiting; ///< Parts that wait for one of the servers.
 };
 
 /**
--- a/src/forward/server_speed_func.cpp
+++ b/src/forward/server_speed_func.cpp
@@ -27,6 +27,10 @@
 constexpr double MomentSmoothing = 0.25;
 /** Upper bound of a ratio to the lasting factor: a single pause says little. */
 constexpr double MaxMoment = 4;
+/** Weight and upper bound if an attempt that was sent after a slow reply is
+ * slow too: a pause would have ended, so the server itself is slow. */
+constexpr double RepeatedSmoothing = 0.5;
+constexpr double MaxRepeatedMoment = 16;
 constexpr double MinMoment = 0.5;
 /** Ratio to the lasting factor above which a reply counts as slow. */
 constexpr double SlowRatio = 1.8;
@@ -65,24 +69,40 @@
   ++Speed.Observations;
 }
 
+void observeMoment(ServerSpeed &Speed, TimePoint Now, double Relative,
+                   bool Repeated) {
+  double Current = momentNow(Speed, Now);
+  // A server that was slow for long is as fast as its latest replies.
+  bool Recovered = Relative < SlowRatio && Current > MaxMoment;
+  double Weight = Repeated || Recovered ? RepeatedSmoothing : MomentSmoothing;
+  double Bounded =
+      std::clamp(Relative, MinMoment, Repeated ? MaxRepeatedMoment : MaxMoment);
+  Speed.Moment = Current + Weight * (Bounded - Current);
+  Speed.MomentAt = Now;
+}
+
 } // namespace
 
 void observeSpeed(ServerSpeed &Speed, TimePoint Now, double Ratio,
-                  bool LowerBound) {
+                  bool LowerBound, TimePoint SentAt) {
   double Relative = Ratio / lastingNow(Speed, Now);
   double Current = momentNow(Speed, Now);
   if (LowerBound && Relative <= Current) {
     return;
   }
   observeLasting(Speed, Now, Ratio);
-  if (Relative < SlowRatio) {
+  bool Slow = Relative >= SlowRatio;
+  bool Repeated = Slow && Speed.SlowReplyAt && SentAt >= *Speed.SlowReplyAt;
+  observeMoment(Speed, Now, Relative, Repeated);
+  if (!Slow) {
     Speed.SlowSince = TimePoint::max();
-  } else if (Speed.SlowSince == TimePoint::max()) {
-    Speed.SlowSince = Now;
+    Speed.SlowReplyAt.reset();
+    return;
+  }
+  Speed.SlowSince = std::min(Speed.SlowSince, Now);
+  if (Repeated || !Speed.SlowReplyAt) {
+    Speed.SlowReplyAt = Now;
   }
-  double Bounded = std::clamp(Relative, MinMoment, MaxMoment);
-  Speed.Moment = Current + MomentSmoothing * (Bounded - Current);
-  Speed.MomentAt = Now;
 }
 
 double currentSlowness(const ServerSpeed &Speed, TimePoint Now) {
--- a/src/forward/server_speed_func.h
+++ b/src/forward/server_speed_func.h
@@ -12,9 +12,11 @@
  * @param Ratio Latency relative to the typical one of the route.
  * @param LowerBound Whether the attempt was abandoned, so that the latency is
  *   at least the stated one.
+ * @param SentAt When the attempt was sent; an attempt that was sent after a
+ *   slow reply and is slow too weighs more.
  */
 void observeSpeed(ServerSpeed &Speed, base::TimePoint Now, double Ratio,
-                  bool LowerBound);
+                  bool LowerBound, base::TimePoint SentAt = {});
 
 /**
  * Estimates the latency of a request that is sent now.
--- a/src/forward/server_speed_type.h
+++ b/src/forward/server_speed_type.h
@@ -4,6 +4,7 @@
 #include "base/time_type.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace hickorycrank::forward {
 
@@ -18,6 +19,9 @@
   base::TimePoint MomentAt;  ///< Last change of Moment.
   /** Start of the present series of slow replies; max() if there is none. */
   base::TimePoint SlowSince = base::TimePoint::max();
+  /** Time of the last reply that was slow and sent after the one before;
+   * nothing if the last reply was not slow. */
+  std::optional<base::TimePoint> SlowReplyAt;
 };
 
 } // namespace hickorycrank::forward
