Adapt cold servers and subsets to the merged estimates

The tests of cold servers read the learned speed where it now stands, with unchanged bounds; subsets respect the regions that a route allows.

--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -69,7 +69,8 @@
   double Reported = Backend.Load->Running + Backend.Load->Waiting;
   double OtherAttempts = std::max(0.0, Reported - Backend.OutstandingAtLoad);
   // The queue of a slow server changes more slowly.
-  double HalfLifeMs = LoadHalfLifeMs * std::max(1.0, Backend.LatencyFactor);
+  double HalfLifeMs =
+      LoadHalfLifeMs * std::max(1.0, currentSlowness(Backend.Speed, Now));
   double Weight = std::exp2(-toMilliseconds(Now - Backend.LoadAt) / HalfLifeMs);
   return OwnAttempts + OtherAttempts * Weight;
 }
@@ -158,8 +159,9 @@
                           const ReplicaCriteria &Criteria) {
   return std::any_of(
       Pool.Servers.begin(), Pool.Servers.end(), [&](const Server *Entry) {
-        return Entry->Assigned && isUsable(*Entry) && !Entry->Unreachable &&
-               !onProbation(*Entry) && !isStalled(Criteria.Now, *Entry) &&
+        return Entry->Assigned && isUsable(*Entry, Criteria.Allowed) &&
+               !Entry->Unreachable && !onProbation(*Entry) &&
+               !isStalled(Criteria.Now, *Entry) &&
                Criteria.Now >= Entry->BusyUntil &&
                isWithinRateLimit(*Entry, Criteria) &&
                std::find(Criteria.Avoid.begin(), Criteria.Avoid.end(),
--- a/tests/cold_server_test.cpp
+++ b/tests/cold_server_test.cpp
@@ -3,6 +3,7 @@
 #include "fleet/roster_base.h"
 #include "forward/cold_state_func.h"
 #include "forward/replica_func.h"
+#include "forward/server_speed_func.h"
 #include "forward_harness.h"
 #include "platform/dialect_func.h"
 
@@ -486,7 +487,7 @@
       forward::recordAttemptEnd(Now, Backend, Ref,
                                 forward::AttemptOutcome::Succeeded);
     }
-    return Backend.LatencyFactor;
+    return forward::currentSlowness(Backend.Speed, Now);
   };
   CHECK(Learn(std::nullopt) > 2);
   CHECK(Learn(100) > 2);
