--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -138,7 +138,6 @@
   Harness.Engine.onEvacuations(domains({"a"}));
   CHECK(Harness.takeActions<forward::AbandonAttempt>().empty());
   CHECK(Harness.Engine.evacuationLoad().Attempts == 1);
-
   SECTION("with its reply") {
     Harness.reply(Sent[0], ForwardHarness::successReply("sig"));
     auto Ended = Harness.takeActions<RespondCall>();
@@ -286,7 +285,6 @@
   REQUIRE(Known.apply(Now, {{1, 5}, {1, 5}, {}, true, {evacuation("a", 1, 5)}},
                       RemovalPolicy::Deferred));
   CHECK(Known.items(ItemKind::Evacuation).size() == 1);
-
   SECTION("by the operator, at once, also at a peer") {
     discovery::View Peer;
     REQUIRE(Peer.apply(Now, Known.updateSince({}), RemovalPolicy::Deferred));
