--- a/tests/uneven_speed_test.cpp
+++ b/tests/uneven_speed_test.cpp
@@ -16,11 +16,6 @@
 
 namespace {
 
-base::Random &randomSource() {
-  static base::Random Source(11);
-  return Source;
-}
-
 /** Records replies at the given interval. */
 void observe(forward::ServerSpeed &Speed, base::TimePoint &Now, double Ratio,
              int Count, base::Duration Interval) {
@@ -32,8 +27,7 @@
 
 /** @return Execution time of a part: 11 ms with a spread of 0.35, and five
  * times as long for one in a hundred. */
-double drawWorkMs() {
-  base::Random &Source = randomSource();
+double drawWorkMs(base::Random &Source) {
   double Normal = -6; // Sum of uniform draws.
   for (int I = 0; I < 12; ++I) {
     Normal += Source.unit();
@@ -107,7 +101,8 @@
 
   void start(Queue &From, size_t Index) {
     while (From.Active.size() < Slots && !From.Waiting.empty()) {
-      double Ms = drawWorkMs() * this->Slowness(Index, this->Harness.Now);
+      double Ms =
+          drawWorkMs(this->Source) * this->Slowness(Index, this->Harness.Now);
       From.Active.push_back({From.Waiting.front(),
                              this->Harness.Now + base::fromMilliseconds(Ms)});
       From.Waiting.pop_front();
@@ -117,6 +112,7 @@
   static constexpr uint32_t Slots = 4;
   ForwardHarness &Harness;
   SlownessFunction Slowness;
+  base::Random Source{11};
   std::map<std::string, Queue> Queues;
 };
 
