Test that heartbeats carry the capacity

Field 15 is kept over encoding and decoding, is absent where it is unknown, and a heartbeat that states 0 is rejected.

--- a/tests/uneven_capacity_test.cpp
+++ b/tests/uneven_capacity_test.cpp
@@ -1,6 +1,7 @@
 // Tests of common limits that instances of different sizes share.
 #include "fleet/capacity_func.h"
 #include "fleet/roster_base.h"
+#include "net/fleet_codec_func.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -90,3 +91,21 @@
   CHECK(Members.capacityWeight(Now, 500) == Approx(500 / Mean).margin(0.01));
   CHECK(Members.capacityWeight(Now, std::nullopt) == 1);
 }
+
+// Guards against a capacity that is lost on the way, and against one that an
+// older release does not send and that is read as 0.
+TEST_CASE("a heartbeat carries the capacity", "[uneven]") {
+  fleet::Heartbeat Sent;
+  Sent.Address = "127.0.0.1:1000";
+  Sent.ControlAddress = "127.0.0.1:1001";
+  Sent.Domain = base::FailureDomainId("a");
+  auto Unstated = net::decodeHeartbeat(net::encodeHeartbeat(Sent));
+  REQUIRE(Unstated);
+  CHECK_FALSE(Unstated.value().Capacity);
+  Sent.Capacity = 120;
+  auto Stated = net::decodeHeartbeat(net::encodeHeartbeat(Sent));
+  REQUIRE(Stated);
+  CHECK(Stated.value().Capacity == 120U);
+  Sent.Capacity = 0;
+  CHECK_FALSE(net::decodeHeartbeat(net::encodeHeartbeat(Sent)));
+}
