Judge the urgent's wait at all replicas, and stagger returns by what was refused

Now a shard is pressed if urgent parts would be late at every server, each with one more part; a caller returns after the refused of the last second are served at the rate of admission.

--- a/src/forward/engine_admission.cpp
+++ b/src/forward/engine_admission.cpp
@@ -147,8 +147,7 @@
       const UrgentDemand &Demand = Urgent[J].second;
       bool TooLate = Best == nullptr
                          ? Expected > Demand.Target
-                         : isPressed(Now, *Best, TypicalLatency, Demand,
-                                     Entry.Pool->Servers.size());
+                         : isPressed(Now, *Entry.Pool, TypicalLatency, Demand);
       Pressed[J] += TooLate ? 1 : 0;
     }
   }
@@ -179,6 +178,9 @@
 
 void Engine::refuseForQueue(Call &CurrentCall, RefusalReason Reason,
                             Duration RoomIn, Actions &Out) {
+  limits::RouteDemand &Demand = this->Demands[CurrentCall.MatchedRoute->Name];
+  limits::recordEvent(Demand.Refused, CurrentCall.ArrivedAt);
+  RoomIn = std::max(RoomIn, returnTime(CurrentCall.ArrivedAt, Demand));
   Refusal Refused{Reason, false,
                   chooseRetryAfter(RoomIn,
                                    CurrentCall.MatchedRoute->TargetLatency,
--- a/src/forward/room.cpp
+++ b/src/forward/room.cpp
@@ -48,18 +48,35 @@
   return Pace.Execution + Pace.Interval * static_cast<int64_t>(Ahead + 1);
 }
 
-bool isPressed(TimePoint Now, const Server &Backend, Duration TypicalLatency,
-               const UrgentDemand &Urgent, size_t Servers) {
+bool isPressed(TimePoint Now, const ServicePool &Pool, Duration TypicalLatency,
+               const UrgentDemand &Urgent) {
   double LimitMs = base::toMilliseconds(Urgent.Target) * UrgentTargetShare;
-  double ExecutionMs =
-      base::toMilliseconds(executionTime(Now, Backend, Urgent.Typical));
-  if (ExecutionMs > LimitMs) {
-    return false;
+  bool AnyCapable = false;
+  for (const Server *Entry : Pool.Servers) {
+    if (Entry->Unreachable || Entry->Entry.Leaving || Entry->Misdirected) {
+      continue;
+    }
+    double ExecutionMs =
+        base::toMilliseconds(executionTime(Now, *Entry, Urgent.Typical));
+    AnyCapable = AnyCapable || ExecutionMs <= LimitMs;
+    // Other instances send parts of such requests to the other servers.
+    double Additional =
+        1 + Urgent.FleetPerSecond * ExecutionMs /
+                (1'000 * static_cast<double>(Pool.Servers.size()));
+    Duration Wait = queueingTime(Now, *Entry, TypicalLatency, Additional);
+    if (ExecutionMs + base::toMilliseconds(Wait) <= LimitMs) {
+      return false;
+    }
   }
-  double Reserve = Urgent.FleetPerSecond * ExecutionMs /
-                   (1'000 * static_cast<double>(std::max<size_t>(1, Servers)));
-  Duration Wait = queueingTime(Now, Backend, TypicalLatency, Reserve + 1);
-  return ExecutionMs + base::toMilliseconds(Wait) > LimitMs;
+  return AnyCapable;
+}
+
+Duration returnTime(TimePoint Now, const limits::RouteDemand &Demand) {
+  double Refused = limits::perSecond(Demand.Refused, Now);
+  double Admitted =
+      std::max(1.0, limits::perSecond(Demand.Offered, Now) - Refused);
+  return std::chrono::duration_cast<Duration>(limits::RateTimeConstant *
+                                              (Refused / Admitted));
 }
 
 std::chrono::milliseconds chooseRetryAfter(Duration RoomIn, Duration Target,
--- a/src/forward/room_func.h
+++ b/src/forward/room_func.h
@@ -3,6 +3,7 @@
 
 #include "base/random_base.h"
 #include "forward/server_set_base.h"
+#include "limits/recent_rate_func.h"
 
 #include <chrono>
 #include <vector>
@@ -39,19 +40,27 @@
 
 /**
  * Checks whether a part of a less urgent request would make more urgent ones
- * miss their target at a server.
+ * miss their target at all servers of a service.
  * @param Now Current time.
- * @param Backend The server.
+ * @param Pool The service.
  * @param TypicalLatency Typical latency of the less urgent part.
  * @param Urgent The more urgent requests; their recent rate decides how much
  *   room they need.
- * @param Servers Number of servers that share their requests.
  * @return Whether they would wait too long. False if they miss their target
  *   even without a queue.
  */
-bool isPressed(base::TimePoint Now, const Server &Backend,
-               base::Duration TypicalLatency, const UrgentDemand &Urgent,
-               size_t Servers);
+bool isPressed(base::TimePoint Now, const ServicePool &Pool,
+               base::Duration TypicalLatency, const UrgentDemand &Urgent);
+
+/**
+ * Estimates how long a route needs to serve the requests that it has refused
+ * lately, at the rate at which it admits requests.
+ * @param Now Current time.
+ * @param Demand Recent requests of the route.
+ * @return Expected time until the callers have been served.
+ */
+base::Duration returnTime(base::TimePoint Now,
+                          const limits::RouteDemand &Demand);
 
 /**
  * Chooses when a caller whose request was refused should send it again.
--- a/src/limits/recent_rate_func.h
+++ b/src/limits/recent_rate_func.h
@@ -44,6 +44,7 @@
 struct RouteDemand {
   RecentRate Offered;
   RecentRate Yielded; ///< Refused in favour of more urgent routes.
+  RecentRate Refused; ///< Refused for lack of room, including Yielded.
 };
 
 /** Share of the requests of each route that is never refused in favour of more
