Let the soak evacuate domains, add cold servers, bursts and unequal instances

Cause: the soak knew none of the parts that depend on load and placement.

Change: evacuations of one domain, also while calm; servers that replace others are cold and accept 4 requests a second; bursts of all callers; an urgent route beside the wide one; one large and two small instances.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -33,7 +33,12 @@
 LEASE_S = 2.5    # Entries of servers that have ended lapse after this time.
 RECOVER_S = 4.0  # Callers of an instance without servers are served after this.
 STRAND_SHARE = 0.1  # Of the faults are followed by a loss of all servers.
+LOAD_SHARE = 0.15  # Of the faults are followed by a burst or an evacuation.
 SLOW_SHARE = 0.2  # Of the requests that are sent once.
+EVACUATION_S = 3.0  # No work reaches an evacuated domain after this time.
+COLD_S = 3.0     # A server that has just been added is cold for this time.
+COLD_RATE = 4.0  # Requests per second that a cold server accepts.
+BURST_S = 2.0    # Callers send without a pause for this time.
 BALANCER_S = 2.0  # A stopping instance gets new requests for this time.
 PIPE_BYTES = 4096      # For the log of the first instance, which nobody reads.
 LOG_LINE_BYTES = 300   # A line about a request, which a full pipe cannot take.
@@ -47,6 +52,7 @@
         self.violations = []
         self.sent = {}
         self.calm_since = time.monotonic()
+        self.evacuated = {}  # Start of the evacuation, by failure domain.
 
     def sign(self, service, server, attempt):
         return f"{service}.{server}.{attempt}"
@@ -61,6 +67,10 @@
         if left and now - left > DRAIN_S and self.calm(now):
             self.fail(f"{server.name} got work {now - left:.1f} s after it "
                       "reported that it leaves")
+        since = self.evacuated.get(server.domain, math.inf)
+        if now - since > EVACUATION_S and self.calm(now):
+            self.fail(f"{server.name} got work {now - since:.1f} s after "
+                      f"the evacuation of {server.domain}")
 
     def calm(self, now):
         return now - self.calm_since > STABLE_S
@@ -95,6 +105,14 @@
 retry-budget-ratio = 0.2
 budget-window-s = 10
 retry-budget-slack = 54
+cold-overshoot = 1.5
+cold-slack = 5
+[limits]
+cpu-share = {0.12 if index else 0.5}
+cores = 1
+memory-mb = {160 if index else 512}
+file-descriptors = 4100
+link-mbps = 26.0
 [platform]
 address = "127.0.0.1:{store_port}"
 """)
@@ -144,6 +162,7 @@
         self.counts = collections.Counter()
         self.stop = False
         self.number = 0
+        self.burst_until = 0.0
 
     def shards(self):
         return [f"g{self.generation}-s{i}" for i in range(4)]
@@ -157,22 +176,28 @@
         routes = [
             {**route, "name": "wide", "prefix": "/wide/", "top-k": TOP_K,
              "gather": self.shards(), "min-shard-fraction": 0.75},
+            {**route, "name": "urgent", "prefix": "/urgent/", "priority": 0,
+             "target-latency-ms": 60, "top-k": TOP_K, "gather": self.shards(),
+             "min-shard-fraction": 0.75},
             {**route, "name": "newest", "prefix": f"/v{self.version}/",
              "host": "newest.example", "service": "single"},
             {**route, "name": "once", "prefix": "/once/", "kind": "unsafe",
              "host": "once.example", "service": "single"}]
         services = [{"name": s, "health-path": "/health", "protocol": "h1",
-                     "max-connections": 30, "tls": False}
+                     "max-connections": 30, "tls": False,
+                     "cold-start-s": COLD_S, "cold-per-s": COLD_RATE}
                     for s in self.shards() + ["single"]]
         self.store.put("op/config", json.dumps(
             {"version": self.version, "routes": routes, "services": services,
              "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144,
                         "header-timeout-ms": 3000, "idle-timeout-ms": 15000}}))
 
-    async def add_server(self, service, domain):
+    async def add_server(self, service, domain, cold=False):
         self.number += 1
         server = BackendServer(f"i-{self.number}", service, domain, self.rng,
                                self.ledger)
+        if cold:
+            server.become_cold(COLD_S, COLD_RATE)
         await server.start()
         self.servers.append(server)
         self.store.put(f"servers/{server.name}", server.entry())
@@ -221,12 +246,14 @@
             gateway = rng.choice(self.gateways)
             if time.monotonic() < gateway.called_until:
                 await self.call(rng, gateway, client)
-            await asyncio.sleep(rng.uniform(0.02, 0.08))
+            if time.monotonic() > self.burst_until:
+                await asyncio.sleep(rng.uniform(0.02, 0.08))
 
     async def call(self, rng, gateway, client):
         attempt = f"{rng.getrandbits(64):016x}"
         wide = rng.random() < 0.7
-        kind = "wide" if wide else "once"
+        kind = rng.choice(["wide", "urgent"]) if wide else "once"
+        host = "wide" if wide else "once"
         # A slow request is in progress when a stopping instance closes.
         slow = not wide and rng.random() < SLOW_SHARE
         target = f"/{kind}/{rng.getrandbits(32):x}?q=1" + "&slow=1" * slow
@@ -235,7 +262,7 @@
         begin = time.monotonic()
         answer = await client.ask(
             gateway.ip, FRONT, "GET" if wide else "POST", target,
-            {"Host": f"{kind}.example", ATTEMPT: attempt,
+            {"Host": f"{host}.example", ATTEMPT: attempt,
              "X-Hickorycrank-Timeout-Remaining": "2000"}, body, 2.5)
         took = time.monotonic() - begin
         self.check(attempt, kind, target, answer, gateway, begin, took)
@@ -347,12 +374,31 @@
         Proxy.cut(gateway.process.pid, self.options.cut)
         await asyncio.sleep(RECOVER_S)
 
+    async def strand_when_stable(self):
+        await asyncio.sleep(STABLE_S)
+        await self.strand()
+
     async def strand_for_a_while(self):
         if Proxy.cut_process is None:
             await self.strand()
             await asyncio.sleep(self.cut_rng.uniform(0, 2))
             Proxy.heal()
 
+    async def evacuate(self, seconds):
+        """Sends nothing to the servers of one failure domain for a while."""
+        domain = self.cut_rng.choice(DOMAINS)
+        if self.ledger.evacuated:
+            return
+        self.store.put(f"op/evacuate/{domain}", "{}")
+        self.ledger.evacuated[domain] = time.monotonic()
+        await asyncio.sleep(seconds)
+        self.ledger.evacuated.clear()
+        self.store.delete(f"op/evacuate/{domain}")
+
+    async def burst(self):
+        self.burst_until = time.monotonic() + BURST_S
+        await asyncio.sleep(BURST_S)
+
     async def harm_store(self):
         self.store.mode = self.rng.choice(["busy", "silent"])
         await asyncio.sleep(self.rng.uniform(0.5, 3))
@@ -413,7 +459,7 @@
 
     async def replace_server(self):
         server = self.rng.choice(self.servers)
-        await self.add_server(server.service, server.domain)
+        await self.add_server(server.service, server.domain, cold=True)
         await self.leave(server)
 
     async def faults(self):
@@ -450,6 +496,9 @@
                 running.add(asyncio.ensure_future(fault))
             if self.cut_rng.random() < STRAND_SHARE:
                 running.add(asyncio.ensure_future(self.strand_for_a_while()))
+            elif self.cut_rng.random() < LOAD_SHARE:
+                running.add(asyncio.ensure_future(self.cut_rng.choice(
+                    [self.burst, lambda: self.evacuate(EVACUATION_S + 2)])()))
             gateway.reload()
             await asyncio.sleep(self.rng.uniform(0.1, 0.8))
         await asyncio.gather(*running)
@@ -484,8 +533,8 @@
         await self.faults()
         self.limit_some()
         await self.lose_versions()
-        await asyncio.sleep(STABLE_S)
-        await self.strand()
+        await asyncio.gather(self.evacuate(STABLE_S + RECOVER_S),
+                             self.strand_when_stable())
         self.check_unread_log()
         self.counts.clear()
         await asyncio.gather(self.drain_while_calm(), self.check_newest())
@@ -497,7 +546,8 @@
             if self.ledger.runs.get(attempt) and \
                     "once" in self.ledger.sent[attempt][0]:
                 self.ledger.fail(f"{attempt} was refused as not run, and ran")
-        good = calm.get("wide 200", 0) + calm.get("once 200", 0)
+        good = sum(calm.get(f"{kind} 200", 0)
+                   for kind in ("wide", "urgent", "once"))
         total = sum(v for k, v in calm.items() if k != "partial")
         if good < 0.99 * total or not good:
             self.ledger.fail(f"after the faults {good} of {total} are served")
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -12,6 +12,7 @@
 RECORD_BYTES = 16
 SLOW_RUN_S = 0.7  # Longer than a stopping instance serves after its balancer.
 LIMIT_WINDOW_S = 4.0  # The rate of requests to a server is taken over it.
+COLD_OVERSHOOT, COLD_SLACK = 1.5, 5  # Tolerated above a cold server's rate.
 TOLD_S = 1.0  # All instances have received a limit after this time.
 ATTEMPT = "x-hickorycrank-attempt-id"
 REMAINING = "x-hickorycrank-timeout-remaining"
@@ -291,6 +292,8 @@
         self.rate_limit = None  # Requests a second that its replies state.
         self.limited_since = 0.0
         self.arrivals = []  # Times of requests since the limit is stated.
+        self.cold_until, self.cold_rate = 0.0, 0.0
+        self.cold_arrivals = []  # Times of requests while it is cold.
         self.proxy = Proxy()
         self.born = int(time.time() * 1000)
 
@@ -303,7 +306,28 @@
             "service": self.service, "address": f"127.0.0.1:{self.proxy.port}",
             "zone": self.domain, "version": "v1", "slots": 3,
             "state": "draining" if self.leaving_since else "ready",
-            "cold-remaining-ms": 0, "sequence": 1, "born": self.born})
+            "cold-remaining-ms": self.cold_ms(), "sequence": 1,
+            "born": self.born})
+
+    def become_cold(self, seconds, per_second):
+        """Accepts at most some requests a second from now on."""
+        self.cold_until = time.monotonic() + seconds
+        self.cold_rate = per_second
+
+    def cold_ms(self):
+        return max(0, round((self.cold_until - time.monotonic()) * 1000))
+
+    def count_cold_arrival(self):
+        """Checks the rate of requests to a cold server."""
+        now = time.monotonic()
+        if now >= self.cold_until:
+            return
+        self.cold_arrivals = [t for t in self.cold_arrivals if now - t < 1]
+        self.cold_arrivals.append(now)
+        allowed = COLD_OVERSHOOT * self.cold_rate + COLD_SLACK
+        if len(self.cold_arrivals) > allowed:
+            self.ledger.fail(f"{self.name} got {len(self.cold_arrivals)} "
+                             "requests in a second while it is cold")
 
     def state_limit(self, per_second):
         """Names a rate limit in all replies from now on; None ends it."""
@@ -341,6 +365,9 @@
         if self.rate_limit is not None:
             echo["Server-Limit"] = str(self.rate_limit)
             self.count_arrival()
+        self.count_cold_arrival()
+        if self.cold_ms():
+            echo["X-Hickorycrank-Cold-Remaining"] = self.cold_ms()
         if self.fault == "shed" and self.rng.random() < 0.5:
             writer.write(response(
                 503, {**echo, "X-Hickorycrank-Not-Executed": "1"}, b""))
