Mend what the review of the merge found

Cause, read from the code: a connection closed for memory could report that nothing was sent although the kernel had taken bytes, so that a request that is not idempotent could be sent again; ended calls stayed in the queues of their services, and the estimates counted them; estimates of room counted evacuated, paused and unassigned servers, and subsets ranked evacuated ones.

Change: such closes count as broken; a call leaves all queues when it ends or is relayed; estimates and subsets use the servers that get requests.

--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -193,7 +193,7 @@
   for (uint32_t I = 0; I < CurrentCall->Parts.size(); ++I) {
     this->abandonLiveAttempts(*CurrentCall, I, Out);
   }
-  this->Calls.erase(Id.Value);
+  this->eraseCall(*CurrentCall);
 }
 
 void Engine::onTick(TimePoint Now, Actions &Out) {
--- a/src/forward/engine_admission.cpp
+++ b/src/forward/engine_admission.cpp
@@ -111,7 +111,7 @@
     uncountUnsentRelay(Now, CurrentCall);
     this->refuse(CurrentCall.Id, {unsentReason(CurrentCall), false, Wait}, Out,
                  summarise(CurrentCall));
-    this->Calls.erase(CurrentCall.Id.Value);
+    this->eraseCall(CurrentCall);
     return false;
   }
   for (Part *Entry : UnavailableParts) {
@@ -206,7 +206,7 @@
   uncountUnsentRelay(CurrentCall.ArrivedAt, CurrentCall);
   this->countRefusal(CurrentCall, Reason);
   Out.push_back(RespondCall{CurrentCall.Id, Refused, summarise(CurrentCall)});
-  this->Calls.erase(CurrentCall.Id.Value);
+  this->eraseCall(CurrentCall);
 }
 
 void Engine::omitPart(Call &CurrentCall, Part &OmittedPart) {
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -354,6 +354,10 @@
       const std::vector<size_t> &Pressed);
   static limits::WaitingPart waitingPart(const Call &CurrentCall,
                                          uint32_t Index);
+  /** Removes the parts of a call from the queues of their services. */
+  static void leaveQueues(const Call &CurrentCall);
+  /** Forgets a call that has ended. */
+  void eraseCall(const Call &Ended);
   /** @return Whether the last connections to the servers of a part are kept for
    * more urgent requests. */
   bool isReserved(base::TimePoint Now, const Call &CurrentCall,
--- a/src/forward/engine_order.cpp
+++ b/src/forward/engine_order.cpp
@@ -68,6 +68,18 @@
           CurrentCall.MatchedRoute->Priority, CurrentCall.Id.Value, Index};
 }
 
+void Engine::leaveQueues(const Call &CurrentCall) {
+  for (uint32_t I = 0; I < CurrentCall.Parts.size(); ++I) {
+    CurrentCall.Parts[I].Pool->Waiting.remove(waitingPart(CurrentCall, I),
+                                              /*Started=*/false);
+  }
+}
+
+void Engine::eraseCall(const Call &Ended) {
+  this->leaveQueues(Ended);
+  this->Calls.erase(Ended.Id.Value);
+}
+
 bool Engine::isReserved(TimePoint Now, const Call &CurrentCall,
                         const Part &CurrentPart) {
   double Needed = 0;
@@ -86,7 +98,7 @@
   size_t Usable = 0;
   for (const Server *Entry : CurrentPart.Pool->Servers) {
     Outstanding += Entry->Outstanding.size();
-    Usable += Entry->Unreachable || Entry->Entry.Leaving ? 0 : 1;
+    Usable += isInUse(Now, *Entry) ? 1 : 0;
   }
   size_t Capacity = Usable * this->maxOutstanding(*CurrentPart.Pool);
   auto Unreserved = static_cast<size_t>(
--- a/src/forward/engine_placement.cpp
+++ b/src/forward/engine_placement.cpp
@@ -12,6 +12,7 @@
 void Engine::onEvacuations(DomainSet Evacuated) {
   this->Evacuated = std::move(Evacuated);
   markEvacuated(this->Servers, this->Evacuated);
+  this->AssignmentsDue = true;
 }
 
 void Engine::setRegions(RegionMap Regions) {
--- a/src/forward/engine_progress.cpp
+++ b/src/forward/engine_progress.cpp
@@ -93,7 +93,7 @@
   }
   Out.push_back(
       RespondCall{CurrentCall.Id, std::move(Result), summarise(CurrentCall)});
-  this->Calls.erase(CurrentCall.Id.Value);
+  this->eraseCall(CurrentCall);
 }
 
 CallResult Engine::buildResult(TimePoint Now, const Call &CurrentCall,
--- a/src/forward/engine_relay.cpp
+++ b/src/forward/engine_relay.cpp
@@ -150,6 +150,7 @@
     }
   }
   CurrentCall.CountedHere = false; // The peer counts it.
+  this->leaveQueues(CurrentCall);
   AttemptRef Ref{CurrentCall.Id.Value, RelayPart,
                  static_cast<uint32_t>(CurrentCall.RelayedTo.size())};
   CurrentCall.RelayedTo.push_back(Chosen->Key);
@@ -194,7 +195,7 @@
     ++this->Counters.Answers;
     Out.push_back(RespondCall{CurrentCall->Id, std::move(Received),
                               summarise(*CurrentCall)});
-    this->Calls.erase(CurrentCall->Id.Value);
+    this->eraseCall(*CurrentCall);
     return;
   }
   ++this->Counters.RelaysFailed;
@@ -249,7 +250,7 @@
     Result.RetryAfter = RelayRetryAfter;
   }
   this->refuse(CurrentCall.Id, Result, Out, summarise(CurrentCall));
-  this->Calls.erase(CurrentCall.Id.Value);
+  this->eraseCall(CurrentCall);
 }
 
 void Engine::advanceRelay(TimePoint Now, Call &CurrentCall, Actions &Out) {
--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -296,6 +296,11 @@
   return Best;
 }
 
+bool isInUse(TimePoint Now, const Server &Backend) {
+  return isUsable(Backend, nullptr) && !Backend.Unreachable &&
+         Backend.Assigned && Backend.PausedUntil <= Now;
+}
+
 bool hasUsableReplica(const ServicePool &Pool, const DomainFilter &Allowed) {
   return std::any_of(
       Pool.Servers.begin(), Pool.Servers.end(),
--- a/src/forward/replica_func.h
+++ b/src/forward/replica_func.h
@@ -115,6 +115,16 @@
  */
 bool hasLongQueue(base::TimePoint Now, const Server &Backend);
 
+/**
+ * Checks whether this instance sends requests to a server, apart from limits on
+ * their rate and from the regions that a route allows.
+ * @param Now Current time.
+ * @param Backend The server.
+ * @return Whether it is usable, reachable, assigned to this instance and has
+ *   not asked for a pause.
+ */
+bool isInUse(base::TimePoint Now, const Server &Backend);
+
 /**
  * Checks whether a service has a server that can be used now or after an
  * outstanding attempt has ended.
--- a/src/forward/room.cpp
+++ b/src/forward/room.cpp
@@ -28,7 +28,7 @@
   Pace.Execution = Duration::max();
   double EndsPerMs = 0;
   for (const Server *Entry : Pool.Servers) {
-    if (Entry->Unreachable || Entry->Entry.Leaving || Entry->Misdirected) {
+    if (!isInUse(Now, *Entry)) {
       continue;
     }
     Duration Expected = expectedTime(Now, *Entry, TypicalLatency);
@@ -51,9 +51,12 @@
 bool isPressed(TimePoint Now, const ServicePool &Pool, Duration TypicalLatency,
                const UrgentDemand &Urgent) {
   double LimitMs = base::toMilliseconds(Urgent.Target) * UrgentTargetShare;
+  auto Servers = static_cast<double>(std::count_if(
+      Pool.Servers.begin(), Pool.Servers.end(),
+      [Now](const Server *Entry) { return isInUse(Now, *Entry); }));
   bool AnyCapable = false;
   for (const Server *Entry : Pool.Servers) {
-    if (Entry->Unreachable || Entry->Entry.Leaving || Entry->Misdirected) {
+    if (!isInUse(Now, *Entry)) {
       continue;
     }
     double ExecutionMs =
@@ -61,8 +64,7 @@
     AnyCapable = AnyCapable || ExecutionMs <= LimitMs;
     // Other instances send parts of such requests to the other servers.
     double Additional =
-        1 + Urgent.FleetPerSecond * ExecutionMs /
-                (1'000 * static_cast<double>(Pool.Servers.size()));
+        1 + Urgent.FleetPerSecond * ExecutionMs / (1'000 * Servers);
     Duration Wait = queueingTime(Now, *Entry, TypicalLatency, Additional);
     if (ExecutionMs + base::toMilliseconds(Wait) <= LimitMs) {
       return false;
--- a/src/forward/server_subset_func.cpp
+++ b/src/forward/server_subset_func.cpp
@@ -1,5 +1,7 @@
 #include "forward/server_subset_func.h"
 
+#include "forward/placement_func.h"
+
 #include "base/digest_func.h"
 
 #include <algorithm>
@@ -40,7 +42,7 @@
                     OwnDomainConnectionShare * Pool.MaxConnections;
   std::vector<RankedServer> Ranked;
   for (Server *Backend : Pool.Servers) {
-    if (Backend->Entry.Leaving || Backend->Misdirected) {
+    if (!isUsable(*Backend, nullptr)) {
       continue;
     }
     Ranked.push_back({Backend, hashUnit(Criteria, *Backend),
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -189,13 +189,8 @@
     return; // Its message has ended since it was chosen.
   }
   ++this->Owner.Counters.ClosedForMemory;
-  this->failUnfinished();
-}
-
-void UpstreamConnection::failUnfinished() {
-  bool Unsent = this->Outgoing.isPending() && this->Outgoing.WrittenBytes == 0;
-  this->fail(Unsent ? forward::AttemptFailure::NotSent
-                    : forward::AttemptFailure::Broken);
+  // The kernel may have taken bytes whose completion has not been handled yet.
+  this->fail(forward::AttemptFailure::Broken);
 }
 
 void UpstreamConnection::resetReceived() {
@@ -406,7 +401,7 @@
   if (this->Outgoing.isPending() &&
       Now - this->Outgoing.ProgressAt > UpstreamPool::WriteStallTime) {
     ++this->Owner.Counters.WritesStalled;
-    this->failUnfinished();
+    this->fail(forward::AttemptFailure::Broken);
   }
   return false;
 }
--- a/src/net/upstream_connection_base.h
+++ b/src/net/upstream_connection_base.h
@@ -112,7 +112,6 @@
   bool mayStayOpen() const;
   forward::Reply takeReply(Parser &Received) const;
   void fail(forward::AttemptFailure Kind);
-  void failUnfinished();
   bool sweepBusy(base::TimePoint Now);
   void countHeld();
   void becomeIdle();
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -16,7 +16,6 @@
 using forward::RefusalReason;
 using limits::ServicePace;
 using limits::TargetQueue;
-using limits::WaitingPart;
 
 namespace {
 
@@ -222,8 +221,8 @@
   CHECK_FALSE(Refused->MayHaveRun);
   REQUIRE(Refused->RetryAfter);
   CHECK(*Refused->RetryAfter >= 150ms);
-  CHECK(Asked > 5 * 9); // Nine slots; ten rounds of 400 ms fit.
-  CHECK(Asked < 11 * 9);
+  CHECK(Asked > 45); // Nine slots; ten rounds of 400 ms fit.
+  CHECK(Asked < 99);
 }
 
 // Guards against ranks that act on routes which share no server.
