Mend four lint findings

Cause: the files had not been linted after their last changes.

The check in slow_reader_test.cpp is the same, by empty().

--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -133,6 +133,7 @@
       std::min(Others.size(),
                std::clamp(Unanswered, MaxOtherDomainTargets, MaxAnswers)));
   std::vector<std::string> Targets;
+  Targets.reserve(MaxTargets);
   for (PeerPointer Entry : Others) {
     Targets.push_back(Entry->first);
   }
@@ -166,6 +167,7 @@
     }
   }
   std::vector<std::pair<const std::string, Unconfirmed> *> Chosen;
+  Chosen.reserve(this->UnconfirmedAddresses.size());
   for (auto &Entry : this->UnconfirmedAddresses) {
     Chosen.push_back(&Entry);
   }
@@ -179,6 +181,7 @@
     Chosen.resize(Count);
   }
   std::vector<std::string> Addresses;
+  Addresses.reserve(Chosen.size());
   for (auto *Entry : Chosen) {
     Entry->second.Mentions = 0;
     Addresses.push_back(Entry->first);
@@ -396,6 +399,7 @@
   Others.resize(std::min(Others.size(), MaxSharedAddresses - FromOwn));
   OwnDomain.insert(OwnDomain.end(), Others.begin(), Others.end());
   std::vector<std::string> Addresses;
+  Addresses.reserve(OwnDomain.size());
   for (PeerPointer Entry : OwnDomain) {
     Addresses.push_back(Entry->first);
   }
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -190,7 +190,7 @@
   REQUIRE(Own);
   CHECK(Own.value().Regions.at(base::FailureDomainId("zone-b")) == "south");
   CHECK(Own.value().Size.CpuCores == 0.5);
-  CHECK(Own.value().Size.MemoryBytes == 160U * 1'048'576U);
+  CHECK(Own.value().Size.MemoryBytes == 167'772'160U);
   CHECK(Own.value().Size.FileDescriptors == 4'100);
 }
 
--- a/tests/slow_reader_test.cpp
+++ b/tests/slow_reader_test.cpp
@@ -277,5 +277,5 @@
   CHECK(Sample("held_bytes") <= Sample("held_bytes_limit"));
   CHECK(Sample("caller_connections_closed_for_memory_total") >= 1);
   tcp::socket Quick = Test.send(fanOutRequest("quick"));
-  CHECK(GatewayFixture::receive(Quick) != "");
+  CHECK_FALSE(GatewayFixture::receive(Quick).empty());
 }
