--- a/src/limits/cold_share_func.cpp
+++ b/src/limits/cold_share_func.cpp
@@ -37,8 +37,8 @@
   uint64_t Own = mix(Members.Own, Server);
   auto Before = std::count_if(
       Members.Others.begin(), Members.Others.end(), [&](uint64_t Other) {
-        uint64_t Score = mix(Other, Server);
-        return Score < Own || (Score == Own && Other < Members.Own);
+        uint64_t Rank = mix(Other, Server);
+        return Rank < Own || (Rank == Own && Other < Members.Own);
       });
   return static_cast<size_t>(Before);
 }
