Bound what the HTTP parser gets at once

Cause: Beast stores a field's value with a length of 16 bits and throws for more than 65,533 bytes. It limits heads, but neither trailers nor chunk extensions; the gateway allowed 131,072 bytes. The store's and peers' answers, the control and readiness ports, and callers under a large max-header-bytes had the same path.

Now no parser gets more than 65,000 bytes that it has not taken, and a field is parsed from one such input, so that the exception cannot occur. Nothing is caught. Such bytes are counted and logged by reader.

--- a/src/daemon/fleet_node.cpp
+++ b/src/daemon/fleet_node.cpp
@@ -27,17 +27,6 @@
 constexpr base::Duration StartupTime = std::chrono::milliseconds(1'000);
 constexpr base::Duration StartupPeriod = std::chrono::milliseconds(50);
 
-/** @return Why a pull failed, for the log. */
-std::string failureReason(const net::ExchangeResult &Result) {
-  if (const auto *Response = std::get_if<net::HttpResponse>(&Result)) {
-    return "status " + std::to_string(Response->Status);
-  }
-  const auto &Failure = std::get<net::ExchangeError>(Result);
-  bool Connecting = Failure.Stage == net::ExchangeStage::Connecting;
-  return std::string(Connecting ? "not connected: " : "no whole answer: ") +
-         net::toString(Failure.Fault);
-}
-
 } // namespace
 
 FleetNode::FleetNode(asio::io_context &Context,
@@ -167,7 +156,7 @@
     ++this->Counters.PullsFailed;
     logEvent(LogLevel::Warning, "view.pull_failed",
              {{"peer", Source.ControlAddress},
-              {"reason", failureReason(Result)},
+              {"reason", net::failureReason(Result)},
               {"took_ms", std::to_string(std::lround(base::toMilliseconds(
                               Clock::now() - StartedAt)))}});
     return;
@@ -205,6 +194,9 @@
   auto Decoded = net::decodeHeartbeat({this->Datagram.data(), Count});
   if (!Decoded) {
     ++this->Counters.Malformed;
+    this->EventLog.log(Clock::now(), LogLevel::Warning, "heartbeat.malformed",
+                       {{"sender", this->Sender.address().to_string()},
+                        {"reason", Decoded.error().Message}});
     return;
   }
   ++this->Counters.Received;
--- a/src/daemon/fleet_node_base.h
+++ b/src/daemon/fleet_node_base.h
@@ -2,6 +2,7 @@
 #define HICKORYCRANK_DAEMON_FLEET_NODE_BASE_H
 
 #include "config/gateway_settings_type.h"
+#include "daemon/log_limit_base.h"
 #include "discovery/item_type.h"
 #include "fleet/capacity_func.h"
 #include "fleet/roster_base.h"
@@ -153,6 +154,7 @@
   base::TimePoint StartedAt;
   base::TimePoint SentAt;
   bool Stopped = false;
+  LogLimit EventLog; ///< Limits the rate of lines about datagrams.
   FleetCounters Counters;
 };
 
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -63,6 +63,9 @@
            },
            [this](forward::ServerKey Server, bool Reached) {
              this->Engine.onProbeResult(suspendAwareNow(), Server, Reached);
+           },
+           [this](const std::string &Address, const std::string &Reason) {
+             this->logBadReply("server.malformed_reply", Address, Reason);
            }}),
       PeerLinks(Context, this->Dialect.Headers,
                 {[this](const forward::AttemptRef &Ref, forward::ServerKey Peer,
@@ -80,7 +83,10 @@
                    this->executeActions(std::move(Actions));
                  },
                  [](const forward::AttemptRef &, forward::ServerKey) {},
-                 [](forward::ServerKey, bool) {}}),
+                 [](forward::ServerKey, bool) {},
+                 [this](const std::string &Address, const std::string &Reason) {
+                   this->logBadReply("peer.malformed_reply", Address, Reason);
+                 }}),
       CallerServer(Context, this->Settings.Callers,
                    this->serverCallbacks(this->CallerServer)),
       RelayServer(Context, this->Settings.Heartbeats,
@@ -92,10 +98,12 @@
             bool Known = Call.Request.Path == this->Dialect.ReadinessPath;
             Response.Status = !Known ? 404 : this->isReady() ? 200 : 503;
             Call.Respond(std::move(Response));
-          }),
+          },
+          this->rejectionLog("readiness")),
       ControlServer(
           Context, this->Settings.Control, net::HttpLimits{},
-          [this](const net::HttpCall &Call) { this->handleControl(Call); }),
+          [this](const net::HttpCall &Call) { this->handleControl(Call); },
+          this->rejectionLog("control")),
       TickTimer(Context), WakeTimer(Context) {}
 
 Gateway::~Gateway() {
@@ -115,7 +123,23 @@
       },
       [this, &Server](net::ForwardToken Token) {
         this->onCallerGone({&Server, Token});
-      }};
+      },
+      this->rejectionLog(&Server == &this->RelayServer ? "relays" : "callers")};
+}
+
+net::RejectionHandler Gateway::rejectionLog(const char *Listener) {
+  return [this, Listener](unsigned Status, const std::string &Reason) {
+    this->EventLog.log(Clock::now(), LogLevel::Warning, "request.malformed",
+                       {{"listener", Listener},
+                        {"status", std::to_string(Status)},
+                        {"reason", Reason}});
+  };
+}
+
+void Gateway::logBadReply(const char *Event, const std::string &Address,
+                          const std::string &Reason) {
+  this->EventLog.log(Clock::now(), LogLevel::Warning, Event,
+                     {{"address", Address}, {"reason", Reason}});
 }
 
 void Gateway::start() {
--- a/src/daemon/gateway_base.h
+++ b/src/daemon/gateway_base.h
@@ -98,6 +98,11 @@
 
   // Request forwarding (gateway.cpp).
   net::ForwardServer::Callbacks serverCallbacks(net::ForwardServer &Server);
+  /** @return Logs the bytes that a listener rejects.
+   * @param Listener Its name in the log. */
+  net::RejectionHandler rejectionLog(const char *Listener);
+  void logBadReply(const char *Event, const std::string &Address,
+                   const std::string &Reason);
   void onRequest(const RequestSource &Origin, net::ForwardRequest &&Request);
   void onCallerGone(const RequestSource &Origin);
   void executeActions(forward::Actions &&Actions);
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -311,6 +311,7 @@
   Count("foreign_replies", UpstreamCounters.ForeignReplies);
   Count("surplus_bytes", UpstreamCounters.SurplusBytes);
   Count("oversized_replies", UpstreamCounters.OversizedReplies);
+  Count("malformed_replies", UpstreamCounters.MalformedReplies);
   Count("abandoned_closed", UpstreamCounters.AbandonedClosed);
   Count("server_writes_stalled", UpstreamCounters.WritesStalled);
   Count("server_connections_closed_for_memory",
@@ -336,6 +337,15 @@
   Count("caller_writes_stalled", CallerCounters.WritesStalled);
   Count("caller_writes_too_late", CallerCounters.WritesTooLate);
   Count("caller_connections_closed_for_memory", CallerCounters.ClosedForMemory);
+  for (const auto &[Listener, Server] :
+       {std::pair("control", &this->ControlServer),
+        std::pair("readiness", &this->ReadinessServer)}) {
+    net::HttpServerCounters Counters = Server->counters();
+    Count("listener_requests_malformed", Counters.Malformed,
+          {{"listener", Listener}});
+    Count("listener_requests_too_large", Counters.TooLarge,
+          {{"listener", Listener}});
+  }
   Add("held_bytes", static_cast<double>(this->Ledger->heldBytes()));
   Add("held_bytes_limit", static_cast<double>(this->Ledger->maxBytes()));
   Add("instances", static_cast<double>(this->Fleet->instances(Clock::now())));
--- a/src/daemon/store_reader.cpp
+++ b/src/daemon/store_reader.cpp
@@ -177,7 +177,7 @@
           Self->onResponse(*Response);
           return;
         }
-        Self->recordFailure("no answer");
+        Self->recordFailure(net::failureReason(Result));
       });
 }
 
--- a/src/net/forward_server.cpp
+++ b/src/net/forward_server.cpp
@@ -2,6 +2,7 @@
 
 #include "net/forward_session_base.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -50,6 +51,8 @@
 
 void ForwardServer::setLimits(const forward::CallerLimits &Limits) {
   this->Shared->Limits = Limits;
+  this->Shared->Limits.MaxHeaderBytes =
+      std::min<uint32_t>(Limits.MaxHeaderBytes, MaxUnparsedBytes);
 }
 
 void ForwardServer::setLedger(std::shared_ptr<limits::MemoryLedger> Ledger) {
--- a/src/net/forward_server_base.h
+++ b/src/net/forward_server_base.h
@@ -4,6 +4,7 @@
 #include "base/time_type.h"
 #include "config/settings_type.h"
 #include "forward/route_type.h"
+#include "net/http_type.h"
 #include "net/memory_holder_func.h"
 
 #include <boost/asio/io_context.hpp>
@@ -12,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace hickorycrank::net {
@@ -55,6 +57,8 @@
     std::function<void(ForwardToken, ForwardRequest &&)> OnRequest;
     /** The caller of a request has closed its connection. */
     std::function<void(ForwardToken)> OnCallerGone;
+    /** A connection has sent bytes that are no request within the limits. */
+    RejectionHandler OnRejected = [](unsigned, const std::string &) {};
   };
 
   /**
@@ -82,7 +86,8 @@
    *   the list. */
   void listHolders(std::vector<MemoryHolder> &Out);
 
-  /** Puts limits in force. @param Limits Limits for callers. */
+  /** Puts limits in force. @param Limits Limits for callers; heads are limited
+   * to MaxUnparsedBytes in any case. */
   void setLimits(const forward::CallerLimits &Limits);
 
   /**
--- a/src/net/forward_session.cpp
+++ b/src/net/forward_session.cpp
@@ -1,5 +1,7 @@
 #include "net/forward_session_base.h"
 
+#include "net/bounded_parse_func.h"
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -25,6 +27,18 @@
 constexpr size_t MaxPipelinedBytes = 65'536;
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
+/** @return Status of the response to a request that the parser rejects. */
+http::status rejectionStatus(beast::error_code Reason) {
+  if (Reason == http::error::body_limit) {
+    return http::status::payload_too_large;
+  }
+  if (Reason == http::error::header_limit ||
+      Reason == http::error::buffer_overflow) {
+    return http::status::request_header_fields_too_large;
+  }
+  return http::status::bad_request;
+}
+
 } // namespace
 
 ForwardSession::ForwardSession(tcp::socket Socket,
@@ -87,37 +101,16 @@
     this->ContinueSent = false;
     this->RequestBytes = 0;
   }
-  beast::error_code Failure;
-  while (!this->Current->is_done() && this->Buffer.size() > 0 && !Failure) {
-    size_t Used = this->Current->put(this->Buffer.data(), Failure);
-    this->Buffer.consume(Used);
-    this->RequestBytes += Used;
-    if (Used == 0 && !Failure) {
-      break;
-    }
-  }
-  if (Failure == http::error::need_more) {
-    Failure = {};
-  }
+  size_t Before = this->Buffer.size();
+  beast::error_code Failure = parseBounded(*this->Current, this->Buffer);
+  this->RequestBytes += Before - this->Buffer.size();
   // The parser does not limit a chunk's extension or a trailer.
   if (!Failure && !this->Current->is_done() &&
       this->Buffer.size() > this->Server->Limits.MaxHeaderBytes) {
     Failure = http::error::header_limit;
   }
-  if (Failure == http::error::body_limit) {
-    ++this->Server->Counters.TooLarge;
-    this->reject(413);
-    return;
-  }
-  if (Failure == http::error::header_limit ||
-      Failure == http::error::buffer_overflow) {
-    ++this->Server->Counters.TooLarge;
-    this->reject(431);
-    return;
-  }
   if (Failure) {
-    ++this->Server->Counters.Malformed;
-    this->reject(400);
+    this->reject(Failure);
     return;
   }
   if (this->Current->is_done()) {
@@ -153,10 +146,15 @@
   this->write(std::move(Response), TimeLeft);
 }
 
-void ForwardSession::reject(unsigned Status) {
+void ForwardSession::reject(beast::error_code Reason) {
+  http::status Status = rejectionStatus(Reason);
+  ++(Status == http::status::bad_request ? this->Server->Counters.Malformed
+                                         : this->Server->Counters.TooLarge);
+  this->Server->Handlers.OnRejected(static_cast<unsigned>(Status),
+                                    Reason.message());
   this->Current.reset();
   this->KeepAlive = false;
-  this->write(ForwardResponse(http::int_to_status(Status), 11), RejectTime);
+  this->write(ForwardResponse(Status, 11), RejectTime);
 }
 
 void ForwardSession::write(ForwardResponse &&Response,
--- a/src/net/forward_session_base.h
+++ b/src/net/forward_session_base.h
@@ -83,7 +83,9 @@
   void onRead(boost::beast::error_code Failure, size_t Count);
   void parse();
   void dispatch();
-  void reject(unsigned Status);
+  /** Responds to bytes that are no request. @param Reason The parser's error.
+   */
+  void reject(boost::beast::error_code Reason);
   void write(ForwardResponse &&Response, base::Duration TimeLeft);
   void sweepWrite(base::TimePoint Now);
   void countHeld();
--- a/src/net/http_pool.cpp
+++ b/src/net/http_pool.cpp
@@ -21,6 +21,16 @@
 
 } // namespace
 
+std::string failureReason(const ExchangeResult &Result) {
+  if (const auto *Response = std::get_if<HttpResponse>(&Result)) {
+    return "status " + std::to_string(Response->Status);
+  }
+  const auto &Failure = std::get<ExchangeError>(Result);
+  bool Connecting = Failure.Stage == ExchangeStage::Connecting;
+  return std::string(Connecting ? "not connected: " : "no whole answer: ") +
+         toString(Failure.Fault);
+}
+
 HttpPool::HttpPool(asio::io_context &Context, config::Endpoint Target,
                    PoolLimits Limits)
     : Context(Context), Target(std::move(Target)), Limits(Limits) {}
--- a/src/net/http_pool_base.h
+++ b/src/net/http_pool_base.h
@@ -24,6 +24,13 @@
 /** How an exchange ended. */
 using ExchangeResult = std::variant<HttpResponse, ExchangeError>;
 
+/**
+ * Describes an exchange that did not succeed, for the log.
+ * @param Result The result.
+ * @return The status of a response, or how the exchange failed.
+ */
+std::string failureReason(const ExchangeResult &Result);
+
 /** Limits of the connections to one server. */
 struct PoolLimits {
   uint32_t MaxConnections = 7; ///< Open or opening at once.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -20,14 +20,16 @@
 using asio::ip::tcp;
 
 struct HttpServer::State {
-  State(asio::io_context &Context, HttpLimits Limits, Handler Handle)
+  State(asio::io_context &Context, HttpLimits Limits, Handler Handle,
+        RejectionHandler OnRejected)
       : Context(Context), Acceptor(asio::make_strand(Context)), Limits(Limits),
-        Handle(std::move(Handle)) {}
+        Handle(std::move(Handle)), OnRejected(std::move(OnRejected)) {}
 
   asio::io_context &Context;
   tcp::acceptor Acceptor;
   HttpLimits Limits;
   Handler Handle;
+  RejectionHandler OnRejected;
   std::atomic<bool> Closing{false};  ///< Responses end their connections.
   std::atomic<bool> Draining{false}; ///< Nothing is accepted any more.
   std::atomic<size_t> InProgress{0};
@@ -133,8 +135,10 @@
 
   void onRead(beast::error_code Failure) {
     if (Failure == http::error::body_limit ||
-        Failure == http::error::header_limit) {
+        Failure == http::error::header_limit ||
+        Failure == http::error::buffer_overflow) {
       this->Server->count(&HttpServerCounters::TooLarge);
+      this->Server->OnRejected(413, Failure.message());
       this->reject(413, "too_large", "send a smaller request");
       return;
     }
@@ -150,6 +154,7 @@
     }
     if (Failure) {
       this->Server->count(&HttpServerCounters::Malformed);
+      this->Server->OnRejected(400, Failure.message());
       this->reject(400, "bad_request", "send a valid HTTP/1.1 request");
       return;
     }
@@ -298,8 +303,10 @@
 };
 
 HttpServer::HttpServer(asio::io_context &Context, const config::Endpoint &Where,
-                       HttpLimits Limits, Handler Handle)
-    : Shared(std::make_shared<State>(Context, Limits, std::move(Handle))) {
+                       HttpLimits Limits, Handler Handle,
+                       RejectionHandler OnRejected)
+    : Shared(std::make_shared<State>(Context, Limits, std::move(Handle),
+                                     std::move(OnRejected))) {
   tcp::endpoint Target(asio::ip::make_address(Where.Address), Where.Port);
   this->Shared->Acceptor.open(Target.protocol());
   this->Shared->Acceptor.set_option(asio::socket_base::reuse_address(true));
--- a/src/net/http_server_base.h
+++ b/src/net/http_server_base.h
@@ -54,10 +54,13 @@
    * @param Where Address and port; port 0 lets the system choose one.
    * @param Limits Limits for clients.
    * @param Handle Called for each well-formed request.
+   * @param OnRejected Told of the others.
    * @throws boost::system::system_error if the address cannot be bound.
    */
-  HttpServer(boost::asio::io_context &Context, const config::Endpoint &Where,
-             HttpLimits Limits, Handler Handle);
+  HttpServer(
+      boost::asio::io_context &Context, const config::Endpoint &Where,
+      HttpLimits Limits, Handler Handle,
+      RejectionHandler OnRejected = [](unsigned, const std::string &) {});
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -36,8 +36,15 @@
 };
 
 /** Maximum size of input that the parser has not taken yet; it bounds chunk
- * extensions and trailers, which have no other limit. */
-inline constexpr size_t MaxUnparsedBytes = 131'072;
+ * extensions and trailers, which have no other limit. Beast stores field values
+ * of up to 65,533 bytes and throws if a value is longer. A field is parsed from
+ * one such input, so that none can be too long. */
+inline constexpr size_t MaxUnparsedBytes = 65'000;
+
+/** Told of bytes that are no request within the limits of a server: the status
+ * of the response and what is wrong with them. */
+using RejectionHandler =
+    std::function<void(unsigned Status, const std::string &Reason)>;
 
 /** How far an exchange got when it failed. */
 enum class ExchangeStage {
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -1,6 +1,7 @@
 #include "net/upstream_connection_base.h"
 
 #include "config/settings_func.h"
+#include "net/bounded_parse_func.h"
 #include "net/forward_header_func.h"
 #include "net/relay_header_func.h"
 #include "net/socket_func.h"
@@ -181,6 +182,19 @@
 
 void UpstreamConnection::failOversized() {
   ++this->Owner.Counters.OversizedReplies;
+  this->reportBadReply("too large");
+  this->fail(forward::AttemptFailure::Broken);
+}
+
+void UpstreamConnection::reportBadReply(const std::string &Reason) {
+  if (this->Current) {
+    this->Owner.Handlers.OnBadReply(this->Current->Order.Address, Reason);
+  }
+}
+
+void UpstreamConnection::failMalformed(const std::string &Reason) {
+  ++this->Owner.Counters.MalformedReplies;
+  this->reportBadReply(Reason);
   this->fail(forward::AttemptFailure::Broken);
 }
 
@@ -198,42 +212,45 @@
   this->countHeld();
 }
 
+void UpstreamConnection::startReply() {
+  this->Incoming.emplace();
+  this->Incoming->eager(true);
+  this->Incoming->body_limit(MaxReplyBytes);
+  this->Incoming->skip(this->Current->Source->Message.method() ==
+                       http::verb::head);
+}
+
+beast::error_code UpstreamConnection::parseEnd(Parser &Unfinished) {
+  // The parser takes an end without any byte for a reply with status 200.
+  if (!Unfinished.got_some()) {
+    return http::error::partial_message;
+  }
+  beast::error_code Failure;
+  Unfinished.put_eof(Failure);
+  if (!Failure && !Unfinished.is_done()) {
+    return http::error::partial_message;
+  }
+  return Failure;
+}
+
 void UpstreamConnection::parse(bool End) {
   // Each round reads one reply; replies to other attempts are dropped.
   while (this->Phase == UpstreamPhase::Busy) {
     if (!this->Incoming) {
-      this->Incoming.emplace();
-      this->Incoming->eager(true);
-      this->Incoming->body_limit(MaxReplyBytes);
-      this->Incoming->skip(this->Current->Source->Message.method() ==
-                           http::verb::head);
-    }
-    beast::error_code Failure;
-    while (!this->Incoming->is_done() && this->Buffer.size() > 0 && !Failure) {
-      size_t Used = this->Incoming->put(this->Buffer.data(), Failure);
-      this->Buffer.consume(Used);
-      if (Used == 0 && !Failure) {
-        break;
-      }
-    }
-    if (Failure == http::error::need_more) {
-      Failure = {};
+      this->startReply();
     }
+    beast::error_code Failure = parseBounded(*this->Incoming, this->Buffer);
     if (!Failure && End && !this->Incoming->is_done()) {
-      // The parser takes an end without any byte for a reply with status 200.
-      if (!this->Incoming->got_some()) {
-        this->fail(forward::AttemptFailure::Broken);
-        return;
-      }
-      this->Incoming->put_eof(Failure);
-      if (!Failure && !this->Incoming->is_done()) {
-        Failure = http::error::partial_message;
-      }
+      Failure = parseEnd(*this->Incoming);
     }
-    if (Failure) {
+    if (Failure == http::error::partial_message) {
       this->fail(forward::AttemptFailure::Broken);
       return;
     }
+    if (Failure) {
+      this->failMalformed(Failure.message());
+      return;
+    }
     if (!this->Incoming->is_done()) {
       return;
     }
--- a/src/net/upstream_connection_base.h
+++ b/src/net/upstream_connection_base.h
@@ -13,6 +13,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace hickorycrank::net {
@@ -106,12 +107,21 @@
   void onRead(boost::beast::error_code Failure, size_t Count);
   bool isReplyTooLarge() const;
   void resetReceived();
+  void startReply();
   void parse(bool End);
+  /** Ends a reply with its connection.
+   * @return No error if the reply may end there; partial_message if it is cut
+   *   off. */
+  static boost::beast::error_code parseEnd(Parser &Unfinished);
   void finish(bool Reusable);
   bool isForeign(const Parser &Received) const;
   bool mayStayOpen() const;
   forward::Reply takeReply(Parser &Received) const;
   void fail(forward::AttemptFailure Kind);
+  void reportBadReply(const std::string &Reason);
+  /** Fails the attempt because of bytes that are no reply.
+   * @param Reason What is wrong with them, for the log. */
+  void failMalformed(const std::string &Reason);
   bool sweepBusy(base::TimePoint Now);
   void countHeld();
   void becomeIdle();
--- a/src/net/upstream_type.h
+++ b/src/net/upstream_type.h
@@ -56,6 +56,9 @@
       OnAbandonedEnd;
   /** A connection without an attempt has opened, or failed to. */
   std::function<void(forward::ServerKey, bool Reached)> OnProbed;
+  /** A server has sent bytes that are no reply; its attempt also fails. */
+  std::function<void(const std::string &Address, const std::string &Reason)>
+      OnBadReply = [](const std::string &, const std::string &) {};
 };
 
 /** What the connections count. */
@@ -66,6 +69,7 @@
   uint64_t ForeignReplies = 0;   ///< Replies to other attempts, dropped.
   uint64_t SurplusBytes = 0;     ///< Connections closed because of them.
   uint64_t OversizedReplies = 0; ///< Connections closed because of them.
+  uint64_t MalformedReplies = 0; ///< Connections closed because of them.
   uint64_t AbandonedClosed = 0;  ///< Abandoned attempts without reply in time.
   uint64_t WritesStalled = 0;    ///< Servers that took no byte for too long.
   uint64_t ClosedForMemory = 0;  ///< Connections that held too much.
--- a/tests/operations_page_test.cpp
+++ b/tests/operations_page_test.cpp
@@ -42,8 +42,8 @@
     std::string Source = readSource(Path);
     Logged.merge(findAll(
         Source,
-        "\"((?:gateway|configuration|settings|store|view|server|request|log)"
-        "\\.[a-z_]+)\""));
+        "\"((?:gateway|configuration|settings|store|view|server|request|log|"
+        "peer|heartbeat)\\.[a-z_]+)\""));
   }
   std::string Page = readSource("docs/OPERATIONS.md");
   size_t Begin = Page.find("Events: ");
