Record crashes of servers during abandoned attempts

Cause: the end of an attempt that nobody waits for said neither how it ended nor which content it carried, so no crash was recorded. It also hid that evidence was dropped whenever the links seemed lost, which a request that crashes all servers brings about each time.

Attempts in flight now carry their content, and each end without a reply counts: caller left, hedges, partial answer, deadline, relay, drain time over, connection retired, server restarted; the last heartbeat of an instance tells what was not reported yet. A later start of a server confirms what a loss of links has put into doubt. So that sound requests beside the crashing one are not refused, a reply clears the content at that service; reports name the service.

discardUnreported became setLinksLost: the test of lost links calls it, and holds the same as before. relay_test and others pass how an attempt ended.

--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -7,7 +7,9 @@
 #include "fleet/view_freshness_func.h"
 #include "net/relay_header_func.h"
 
+#include <cinttypes>
 #include <cmath>
+#include <cstdio>
 #include <utility>
 
 namespace hickorycrank::daemon {
@@ -34,6 +36,13 @@
   return Options;
 }
 
+/** @return A fingerprint in the log. */
+std::string toText(base::Fingerprint Content) {
+  char Text[20];
+  std::snprintf(Text, sizeof Text, "%016" PRIx64, Content.Value);
+  return Text;
+}
+
 } // namespace
 
 Gateway::Gateway(boost::asio::io_context &Context,
@@ -57,9 +66,12 @@
                                     Actions);
              this->executeActions(std::move(Actions));
            },
-           [this](const forward::AttemptRef &Ref, forward::ServerKey Server) {
+           [this](const forward::AttemptRef &Ref, forward::ServerKey Server,
+                  forward::AttemptFailure Kind) {
+             forward::Actions Actions;
              this->Engine.onAbandonedAttemptEnded(suspendAwareNow(), Ref,
-                                                  Server);
+                                                  Server, Kind, Actions);
+             this->executeActions(std::move(Actions));
            },
            [this](forward::ServerKey Server, bool Reached) {
              this->Engine.onProbeResult(suspendAwareNow(), Server, Reached);
@@ -82,7 +94,8 @@
                                                Kind, Actions);
                    this->executeActions(std::move(Actions));
                  },
-                 [](const forward::AttemptRef &, forward::ServerKey) {},
+                 [](const forward::AttemptRef &, forward::ServerKey,
+                    forward::AttemptFailure) {},
                  [](forward::ServerKey, bool) {},
                  [this](const std::string &Address, const std::string &Reason) {
                    this->logBadReply("peer.malformed_reply", Address, Reason);
@@ -270,6 +283,7 @@
       remainingTime(Request, this->Dialect.Headers).value_or(DefaultRemaining);
   NewCall.Remaining = CallDetails.Remaining;
   CallDetails.Content = requestFingerprint(Request);
+  NewCall.Content = CallDetails.Content;
   CallDetails.BodyBytes = Request.body().size();
   CallDetails.Relayed = Origin.Server == &this->RelayServer;
   if (CallDetails.Relayed) {
@@ -331,6 +345,8 @@
       this->execute(*Links);
     } else if (auto *Told = std::get_if<forward::LogServerDeclines>(&Action)) {
       this->execute(*Told);
+    } else if (auto *Refused = std::get_if<forward::LogQuarantine>(&Action)) {
+      this->execute(*Refused);
     }
   }
   this->scheduleWake();
@@ -378,6 +394,11 @@
             {"last_reply_from", Links.LastReplyFrom.Value}});
 }
 
+void Gateway::execute(const forward::LogQuarantine &Refused) {
+  this->EventLog.log(Clock::now(), LogLevel::Warning, "request.quarantined",
+                     {{"content", toText(Refused.Content)}});
+}
+
 void Gateway::respond(const forward::RespondCall &Outcome) {
   auto Found = this->Calls.find(Outcome.Id.Value);
   if (Found == this->Calls.end()) {
@@ -434,6 +455,7 @@
     Event = "request.refused";
     Fields["reason"] = forward::toString(Refused->Reason);
     Fields["ran"] = Refused->MayHaveRun ? "may_have_run" : "not_run";
+    Fields["content"] = toText(Ended.Content);
   }
   if (ServerError) {
     Fields["status"] = std::to_string(Received->Status);
--- a/src/daemon/gateway_base.h
+++ b/src/daemon/gateway_base.h
@@ -89,6 +89,7 @@
     std::shared_ptr<const net::UpstreamRequest> Source;
     base::TimePoint ArrivedAt;
     base::Duration Remaining{}; ///< Until the caller's deadline, at ArrivedAt.
+    base::Fingerprint Content;
   };
   /** A decoded server item of the view, cached by its position. */
   struct DecodedServer {
@@ -111,6 +112,7 @@
   void execute(const forward::LogRateLimit &Limit);
   void execute(const forward::LogColdState &State);
   void execute(const forward::LogReachability &Links);
+  void execute(const forward::LogQuarantine &Refused);
   void respond(const forward::RespondCall &Outcome);
   void logResult(const Pending &Ended, const forward::RespondCall &Outcome,
                  base::Duration Took);
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -209,7 +209,8 @@
   Message.StoreStable = this->Reader->isStable(Clock::now());
   Message.QuarantinedFingerprints =
       this->Engine.crashes().quarantined(suspendAwareNow());
-  Message.Crashes = this->Engine.crashes().reports(suspendAwareNow());
+  Message.Crashes =
+      this->Engine.crashes().reports(suspendAwareNow(), Message.Leaving);
   return Message;
 }
 
@@ -280,6 +281,14 @@
   Count("parts_cold_limited", EngineCounters.ColdLimited);
   Add("cold_servers",
       static_cast<double>(this->Engine.coldServers(suspendAwareNow())));
+  const forward::CrashCounters &Crashes = this->Engine.crashes().counters();
+  Count("crashed_calls", Crashes.Calls);
+  Count("crashed_calls_cleared", Crashes.Cleared);
+  Count("crashed_calls_doubted", Crashes.Doubted);
+  Count("crashed_calls_confirmed", Crashes.Confirmed);
+  Add("quarantined_contents",
+      static_cast<double>(
+          this->Engine.crashes().quarantined(suspendAwareNow()).size()));
   Count("relays", EngineCounters.Relays);
   Count("relays_failed", EngineCounters.RelaysFailed);
   Count("relays_received", EngineCounters.RelaysReceived);
--- a/src/forward/action_type.h
+++ b/src/forward/action_type.h
@@ -88,10 +88,17 @@
   double PerSecond = 0;       ///< Its rate while cold; 0 if not limited.
 };
 
-using Action = std::variant<SendAttempt, AbandonAttempt, RespondCall,
-                            CloseServerConnections, ProbeConnection,
-                            LogRateLimit, RelayRequest, CancelRelay,
-                            LogReachability, LogServerDeclines, LogColdState>;
+/** Log that requests with a certain content are refused from now on, because
+ * servers crash when they execute them. */
+struct LogQuarantine {
+  base::Fingerprint Content;
+};
+
+using Action =
+    std::variant<SendAttempt, AbandonAttempt, RespondCall,
+                 CloseServerConnections, ProbeConnection, LogRateLimit,
+                 RelayRequest, CancelRelay, LogReachability, LogServerDeclines,
+                 LogColdState, LogQuarantine>;
 using Actions = std::vector<Action>;
 
 } // namespace hickorycrank::forward
--- a/src/forward/call_type.h
+++ b/src/forward/call_type.h
@@ -73,6 +73,7 @@
 enum class AttemptFailure {
   NotSent, ///< No connection was established; no byte was sent.
   Broken,  ///< The connection was lost or the reply was invalid.
+  GivenUp, ///< This instance closed the connection while it waited.
 };
 
 /** Reasons for refusing or failing a caller's request. */
--- a/src/forward/crash_report_type.h
+++ b/src/forward/crash_report_type.h
@@ -17,6 +17,9 @@
    * the reports of several instances can be added up. */
   std::vector<uint64_t> Calls;
   std::chrono::milliseconds Age{0}; ///< Time since the last known crash.
+  /** Service of the server that crashed during each of Calls, as a hash;
+   * shorter or empty if it is not known. */
+  std::vector<uint64_t> Services = {};
 };
 
 } // namespace hickorycrank::forward
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -88,6 +88,9 @@
   for (ServerKey Ended : this->Servers.apply(Now, Entries)) {
     Out.push_back(CloseServerConnections{Ended});
   }
+  for (const EndedIncarnation &Ended : this->Servers.takeRestarted()) {
+    this->recordRestart(Now, Ended);
+  }
   markEvacuated(this->Servers, this->Evacuated);
   this->updateColdStates(Now, Out);
   this->AssignmentsDue = true;
@@ -224,6 +227,7 @@
   }
   this->updateColdStates(Now, Out);
   this->updateReachability(Now, Out);
+  this->logQuarantines(Now, Out);
 }
 
 void Engine::probe(Server &Suspect, Actions &Out) {
--- a/src/forward/engine_attempts.cpp
+++ b/src/forward/engine_attempts.cpp
@@ -304,7 +304,7 @@
   this->Counters.Borrowed += Backend.Borrowed ? 1 : 0;
   Backend.Outstanding.push_back(
       {Ref, Now, this->typicalLatency(*CurrentCall.MatchedRoute),
-       CurrentCall.BodyBytes});
+       CurrentCall.BodyBytes, CurrentCall.Content});
   if (Backend.RateLimit) {
     limits::takeTurn(*Backend.RateLimit, Now, this->LimitParts);
   }
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -214,13 +214,17 @@
                  AttemptFailure Kind, Actions &Out);
 
   /**
-   * Handles the end of an abandoned attempt that received no reply.
+   * Handles the end of an abandoned attempt that received no reply. It may
+   * have crashed the server all the same.
    * @param Now Current time.
    * @param Ref The attempt.
-   * @param Key The server that it was sent to.
+   * @param Key The server that it was intended for.
+   * @param Kind How it ended.
+   * @param Out Receives actions.
    */
   void onAbandonedAttemptEnded(base::TimePoint Now, const AttemptRef &Ref,
-                               ServerKey Key);
+                               ServerKey Key, AttemptFailure Kind,
+                               Actions &Out);
 
   /**
    * Cancels a call whose caller has disconnected.
@@ -403,6 +407,12 @@
   /** Closes the connections to unassigned servers that are not in use. */
   void returnBorrowed(Actions &Out);
 
+  // Crashes of servers (engine_crashes.cpp).
+  /** Records the attempts that were in flight when a server restarted. */
+  void recordRestart(base::TimePoint Now, const EndedIncarnation &Ended);
+  /** Logs content that has been quarantined since the last call. */
+  void logQuarantines(base::TimePoint Now, Actions &Out);
+
   // Replies (engine_replies.cpp).
   void handleReply(base::TimePoint Now, const AttemptRef &Ref, ServerKey Key,
                    Reply &&Received, Actions &Out);
@@ -489,6 +499,7 @@
   size_t DomainInstances = 1;
   bool AssignmentsDue = false; ///< updateAssignments() has something to do.
   CrashRecord Crashes;
+  std::vector<base::Fingerprint> LoggedQuarantines; ///< Still in force.
   EngineCounters Counters;
   std::unordered_map<uint64_t, std::unique_ptr<Call>> Calls;
   std::unordered_map<std::string, limits::LatencyModel>
--- a/src/forward/engine_relay.cpp
+++ b/src/forward/engine_relay.cpp
@@ -51,10 +51,10 @@
   Out.push_back(LogReachability{
       !this->Links.isLost(), this->Links.silentServers(),
       this->Links.usableServers(), this->Links.lastReplyFrom()});
+  this->Crashes.setLinksLost(Now, this->Links.isLost());
   if (!this->Links.isLost()) {
     return;
   }
-  this->Crashes.discardUnreported(Now);
   for (auto &[Id, CurrentCall] : this->Calls) {
     if (!CurrentCall->CurrentRelay && this->tryRelay(Now, *CurrentCall, Out)) {
       this->scheduleWake(Now, *CurrentCall);
--- a/src/forward/engine_replies.cpp
+++ b/src/forward/engine_replies.cpp
@@ -56,6 +56,10 @@
     AttemptOutcome Outcome = Rejected   ? AttemptOutcome::Shed
                              : ServerOk ? AttemptOutcome::Succeeded
                                         : AttemptOutcome::Failed;
+    const OutstandingAttempt *Ended = findOutstanding(*Backend, Ref);
+    if (Ended != nullptr && !Rejected && !Received.Signature.empty()) {
+      this->Crashes.recordReply(Now, Ended->Content, Backend->Entry.Service);
+    }
     // The statement explains the latency of this reply.
     if (Received.Load && !Received.Misdirected) {
       recordStatedWork(Now, *Backend, *Received.Load);
@@ -169,7 +173,8 @@
     this->Crashes.recordUnreachable(Now, Key);
   } else if (CurrentCall != nullptr) {
     this->Crashes.recordBroken(Now, Key, this->CallNumberOffset + Ref.Call,
-                               CurrentCall->Content);
+                               CurrentCall->Content,
+                               CurrentCall->Parts[Ref.Part].Pool->Service);
     // The next request to the server may come too late to confirm a crash.
     if (Backend != nullptr && !Backend->Probing) {
       this->probe(*Backend, Out);
@@ -193,10 +198,23 @@
 }
 
 void Engine::onAbandonedAttemptEnded(TimePoint Now, const AttemptRef &Ref,
-                                     ServerKey Key) {
-  if (Server *Backend = this->Servers.find(Key)) {
-    recordAttemptEnd(Now, *Backend, Ref, AttemptOutcome::Abandoned);
+                                     ServerKey Key, AttemptFailure Kind,
+                                     Actions &Out) {
+  Server *Backend = this->Servers.find(Key);
+  if (Backend == nullptr) {
+    return; // onServers() has recorded the attempts of servers that restarted.
+  }
+  const OutstandingAttempt *Ended = findOutstanding(*Backend, Ref);
+  if (Ended != nullptr && Kind != AttemptFailure::NotSent) {
+    this->Crashes.recordBroken(Now, Key, this->CallNumberOffset + Ref.Call,
+                               Ended->Content, Backend->Entry.Service);
+    bool MayHaveCrashed = Kind == AttemptFailure::Broken ||
+                          this->Crashes.isSuspected(Ended->Content);
+    if (MayHaveCrashed && !Backend->Probing) {
+      this->probe(*Backend, Out);
+    }
   }
+  recordAttemptEnd(Now, *Backend, Ref, AttemptOutcome::Abandoned);
 }
 
 } // namespace hickorycrank::forward
--- a/src/forward/replica.cpp
+++ b/src/forward/replica.cpp
@@ -342,16 +342,23 @@
   return First;
 }
 
-void recordAttemptEnd(TimePoint Now, Server &Backend, const AttemptRef &Ref,
-                      AttemptOutcome Outcome) {
+const OutstandingAttempt *findOutstanding(const Server &Backend,
+                                          const AttemptRef &Ref) {
   auto Found = std::find_if(
       Backend.Outstanding.begin(), Backend.Outstanding.end(),
       [&](const OutstandingAttempt &Entry) { return Entry.Ref == Ref; });
-  if (Found == Backend.Outstanding.end()) {
+  return Found == Backend.Outstanding.end() ? nullptr : &*Found;
+}
+
+void recordAttemptEnd(TimePoint Now, Server &Backend, const AttemptRef &Ref,
+                      AttemptOutcome Outcome) {
+  const OutstandingAttempt *Found = findOutstanding(Backend, Ref);
+  if (Found == nullptr) {
     return;
   }
   OutstandingAttempt Ended = *Found;
-  Backend.Outstanding.erase(Found);
+  Backend.Outstanding.erase(Backend.Outstanding.begin() +
+                            (Found - Backend.Outstanding.data()));
   if (Outcome != AttemptOutcome::Abandoned) {
     Backend.Unreachable = Outcome == AttemptOutcome::ConnectFailed;
   }
--- a/src/forward/replica_func.h
+++ b/src/forward/replica_func.h
@@ -183,6 +183,15 @@
  */
 bool isStalled(base::TimePoint Now, const Server &Backend);
 
+/**
+ * Finds an attempt that has not ended.
+ * @param Backend The server that it was sent to.
+ * @param Ref The attempt.
+ * @return The attempt, or nullptr.
+ */
+const OutstandingAttempt *findOutstanding(const Server &Backend,
+                                          const AttemptRef &Ref);
+
 /**
  * Records the outcome of an attempt.
  * @param Now Current time.
--- a/src/forward/server_set.cpp
+++ b/src/forward/server_set.cpp
@@ -15,6 +15,10 @@
  * the server's earlier entry; such copies are some seconds old. */
 constexpr base::Duration DepartureMemory = std::chrono::seconds(60);
 
+/** Time for which an ended incarnation is remembered, so that a later start
+ * tells that the server has restarted. */
+constexpr base::Duration RestartMemory = std::chrono::seconds(15);
+
 /** @return Whether both entries describe the same incarnation of a server; an
  * unknown start time matches any other. */
 bool sameIncarnation(const ServerEntry &Left, const ServerEntry &Right) {
@@ -33,6 +37,9 @@
   std::erase_if(this->Departures, [&](const auto &Known) {
     return Now - Known.second.ListedAt > DepartureMemory;
   });
+  std::erase_if(this->Ended, [&](const auto &Known) {
+    return Now - Known.second.EndedAt > RestartMemory;
+  });
   for (ServerEntry Entry : Entries) {
     Entry.Leaving = this->hasDeparted(Now, Entry);
     Listed.insert(Entry.Id.Value);
@@ -40,7 +47,7 @@
     if (Existing != this->ById.end() &&
         !sameIncarnation(Existing->second->Entry, Entry)) {
       EndedKeys.push_back(Existing->second->Key);
-      this->remove(Entry.Id.Value);
+      this->remove(Now, Entry.Id.Value);
       Existing = this->ById.end();
     }
     if (Existing == this->ById.end()) {
@@ -60,7 +67,7 @@
   }
   for (const std::string &Id : Unlisted) {
     EndedKeys.push_back(this->ById.at(Id)->Key);
-    this->remove(Id);
+    this->remove(Now, Id);
   }
   return EndedKeys;
 }
@@ -114,7 +121,19 @@
   return Result;
 }
 
+void ServerSet::findRestart(const ServerEntry &Entry) {
+  auto Found = this->Ended.find(Entry.Id.Value);
+  if (Found == this->Ended.end()) {
+    return;
+  }
+  if (Entry.StartedAt > Found->second.StartedAt) {
+    this->Restarted.push_back(std::move(Found->second));
+  }
+  this->Ended.erase(Found);
+}
+
 Server &ServerSet::add(base::TimePoint Now, const ServerEntry &Entry) {
+  this->findRestart(Entry);
   auto Added = std::make_unique<Server>();
   Added->Key = ServerKey(this->NextKey++);
   Added->Entry = Entry;
@@ -132,8 +151,13 @@
   return Result;
 }
 
-void ServerSet::remove(const std::string &Id) {
+void ServerSet::remove(base::TimePoint Now, const std::string &Id) {
   Server *Removed = this->ById.at(Id);
+  const ServerEntry &Entry = Removed->Entry;
+  if (!Entry.Leaving && Entry.StartedAt != 0) {
+    this->Ended[Id] = {Removed->Key, Entry.Service, Entry.StartedAt, Now,
+                       std::move(Removed->Outstanding)};
+  }
   std::erase(this->Pools[Removed->Entry.Service].Servers, Removed);
   this->ById.erase(Id);
   this->Servers.erase(Removed->Key);
--- a/src/forward/server_set_base.h
+++ b/src/forward/server_set_base.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace hickorycrank::forward {
@@ -25,6 +26,15 @@
   limits::TargetQueue Waiting; ///< Parts that wait for one of the servers.
 };
 
+/** An incarnation of a backend server that is no longer listed. */
+struct EndedIncarnation {
+  ServerKey Key;
+  std::string Service;
+  uint64_t StartedAt = 0;  ///< In Unix ms; not 0.
+  base::TimePoint EndedAt; ///< When it was first not listed.
+  std::vector<OutstandingAttempt> Outstanding; ///< At EndedAt.
+};
+
 /**
  * All listed backend servers, by service, id and key.
  */
@@ -42,6 +52,15 @@
   std::vector<ServerKey> apply(base::TimePoint Now,
                                const std::vector<ServerEntry> &Entries);
 
+  /**
+   * Returns the incarnations that have ended without leaving and whose servers
+   * have since been listed with a later start.
+   * @return Those that were found since the last call.
+   */
+  std::vector<EndedIncarnation> takeRestarted() {
+    return std::exchange(this->Restarted, {});
+  }
+
   /**
    * Records that a server has stated in a reply that it is leaving. It stays so
    * for the rest of this incarnation.
@@ -89,13 +108,19 @@
 
   bool hasDeparted(base::TimePoint Now, const ServerEntry &Entry);
   Server &add(base::TimePoint Now, const ServerEntry &Entry);
-  void remove(const std::string &Id);
+  void remove(base::TimePoint Now, const std::string &Id);
+  /** Notices that a listed entry has started later than an incarnation that
+   * ended without leaving. */
+  void findRestart(const ServerEntry &Entry);
 
   std::unordered_map<ServerKey, std::unique_ptr<Server>> Servers;
   std::map<std::string, Server *> ById;
   /** Entries are never erased, because calls hold pointers to pools. */
   std::unordered_map<std::string, ServicePool> Pools;
   std::unordered_map<std::string, Departure> Departures; ///< By id.
+  /** Incarnations that ended without leaving, by id. */
+  std::unordered_map<std::string, EndedIncarnation> Ended;
+  std::vector<EndedIncarnation> Restarted;
   bool FirstListed = false; ///< A list with servers has been applied.
   uint64_t NextKey = 1;
 };
--- a/src/forward/server_type.h
+++ b/src/forward/server_type.h
@@ -59,8 +59,9 @@
 struct OutstandingAttempt {
   AttemptRef Ref;
   base::TimePoint SentAt;
-  base::Duration Expected{}; ///< Typical latency of its route.
-  uint64_t BodyBytes = 0;    ///< Size of the request's body.
+  base::Duration Expected{};   ///< Typical latency of its route.
+  uint64_t BodyBytes = 0;      ///< Size of the request's body.
+  base::Fingerprint Content{}; ///< Content of the request.
 };
 
 /** A backend server and this instance's observations of it. */
--- a/src/gen/fleet_types.cpp
+++ b/src/gen/fleet_types.cpp
@@ -29,6 +29,11 @@
 void CrashReport::__set_ageMs(const int64_t val) {
   this->ageMs = val;
 }
+
+void CrashReport::__set_services(const std::vector<int64_t> & val) {
+  this->services = val;
+__isset.services = true;
+}
 std::ostream& operator<<(std::ostream& out, const CrashReport& obj)
 {
   obj.printTo(out);
@@ -96,6 +101,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size5;
+            ::apache::thrift::protocol::TType _etype8;
+            xfer += iprot->readListBegin(_etype8, _size5);
+            this->services.resize(_size5);
+            uint32_t _i9;
+            for (_i9 = 0; _i9 < _size5; ++_i9)
+            {
+              xfer += iprot->readI64(this->services[_i9]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -126,10 +151,10 @@
   xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->calls.size()));
-    std::vector<int64_t> ::const_iterator _iter5;
-    for (_iter5 = this->calls.begin(); _iter5 != this->calls.end(); ++_iter5)
+    std::vector<int64_t> ::const_iterator _iter10;
+    for (_iter10 = this->calls.begin(); _iter10 != this->calls.end(); ++_iter10)
     {
-      xfer += oprot->writeI64((*_iter5));
+      xfer += oprot->writeI64((*_iter10));
     }
     xfer += oprot->writeListEnd();
   }
@@ -139,6 +164,19 @@
   xfer += oprot->writeI64(this->ageMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.services) {
+    xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->services.size()));
+      std::vector<int64_t> ::const_iterator _iter11;
+      for (_iter11 = this->services.begin(); _iter11 != this->services.end(); ++_iter11)
+      {
+        xfer += oprot->writeI64((*_iter11));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -149,17 +187,23 @@
   swap(a.content, b.content);
   swap(a.calls, b.calls);
   swap(a.ageMs, b.ageMs);
+  swap(a.services, b.services);
+  swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other6) {
-  content = other6.content;
-  calls = other6.calls;
-  ageMs = other6.ageMs;
+CrashReport::CrashReport(const CrashReport& other12) {
+  content = other12.content;
+  calls = other12.calls;
+  ageMs = other12.ageMs;
+  services = other12.services;
+  __isset = other12.__isset;
 }
-CrashReport& CrashReport::operator=(const CrashReport& other7) {
-  content = other7.content;
-  calls = other7.calls;
-  ageMs = other7.ageMs;
+CrashReport& CrashReport::operator=(const CrashReport& other13) {
+  content = other13.content;
+  calls = other13.calls;
+  ageMs = other13.ageMs;
+  services = other13.services;
+  __isset = other13.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
@@ -168,6 +212,7 @@
   out << "content=" << to_string(content);
   out << ", " << "calls=" << to_string(calls);
   out << ", " << "ageMs=" << to_string(ageMs);
+  out << ", " << "services="; (__isset.services ? (out << to_string(services)) : (out << "<null>"));
   out << ")";
 }
 
@@ -315,14 +360,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->peers.clear();
-            uint32_t _size8;
-            ::apache::thrift::protocol::TType _etype11;
-            xfer += iprot->readListBegin(_etype11, _size8);
-            this->peers.resize(_size8);
-            uint32_t _i12;
-            for (_i12 = 0; _i12 < _size8; ++_i12)
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->peers.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
             {
-              xfer += iprot->readString(this->peers[_i12]);
+              xfer += iprot->readString(this->peers[_i18]);
             }
             xfer += iprot->readListEnd();
           }
@@ -335,14 +380,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined.clear();
-            uint32_t _size13;
-            ::apache::thrift::protocol::TType _etype16;
-            xfer += iprot->readListBegin(_etype16, _size13);
-            this->quarantined.resize(_size13);
-            uint32_t _i17;
-            for (_i17 = 0; _i17 < _size13; ++_i17)
+            uint32_t _size19;
+            ::apache::thrift::protocol::TType _etype22;
+            xfer += iprot->readListBegin(_etype22, _size19);
+            this->quarantined.resize(_size19);
+            uint32_t _i23;
+            for (_i23 = 0; _i23 < _size19; ++_i23)
             {
-              xfer += iprot->readI64(this->quarantined[_i17]);
+              xfer += iprot->readI64(this->quarantined[_i23]);
             }
             xfer += iprot->readListEnd();
           }
@@ -387,14 +432,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->crashes.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->crashes.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += this->crashes[_i22].read(iprot);
+              xfer += this->crashes[_i28].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -477,10 +522,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->peers.size()));
-    std::vector<std::string> ::const_iterator _iter23;
-    for (_iter23 = this->peers.begin(); _iter23 != this->peers.end(); ++_iter23)
+    std::vector<std::string> ::const_iterator _iter29;
+    for (_iter29 = this->peers.begin(); _iter29 != this->peers.end(); ++_iter29)
     {
-      xfer += oprot->writeString((*_iter23));
+      xfer += oprot->writeString((*_iter29));
     }
     xfer += oprot->writeListEnd();
   }
@@ -489,10 +534,10 @@
   xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
-    std::vector<int64_t> ::const_iterator _iter24;
-    for (_iter24 = this->quarantined.begin(); _iter24 != this->quarantined.end(); ++_iter24)
+    std::vector<int64_t> ::const_iterator _iter30;
+    for (_iter30 = this->quarantined.begin(); _iter30 != this->quarantined.end(); ++_iter30)
     {
-      xfer += oprot->writeI64((*_iter24));
+      xfer += oprot->writeI64((*_iter30));
     }
     xfer += oprot->writeListEnd();
   }
@@ -518,10 +563,10 @@
     xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-      std::vector<CrashReport> ::const_iterator _iter25;
-      for (_iter25 = this->crashes.begin(); _iter25 != this->crashes.end(); ++_iter25)
+      std::vector<CrashReport> ::const_iterator _iter31;
+      for (_iter31 = this->crashes.begin(); _iter31 != this->crashes.end(); ++_iter31)
       {
-        xfer += (*_iter25).write(oprot);
+        xfer += (*_iter31).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -561,39 +606,39 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other26) {
-  address = other26.address;
-  control = other26.control;
-  leaving = other26.leaving;
-  changedAt = other26.changedAt;
-  storeHealthy = other26.storeHealthy;
-  peers = other26.peers;
-  quarantined = other26.quarantined;
-  domain = other26.domain;
-  storeStable = other26.storeStable;
-  changedAtEpoch = other26.changedAtEpoch;
-  acceptsRelays = other26.acceptsRelays;
-  crashes = other26.crashes;
-  viewAgeMs = other26.viewAgeMs;
-  capacity = other26.capacity;
-  __isset = other26.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other27) {
-  address = other27.address;
-  control = other27.control;
-  leaving = other27.leaving;
-  changedAt = other27.changedAt;
-  storeHealthy = other27.storeHealthy;
-  peers = other27.peers;
-  quarantined = other27.quarantined;
-  domain = other27.domain;
-  storeStable = other27.storeStable;
-  changedAtEpoch = other27.changedAtEpoch;
-  acceptsRelays = other27.acceptsRelays;
-  crashes = other27.crashes;
-  viewAgeMs = other27.viewAgeMs;
-  capacity = other27.capacity;
-  __isset = other27.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other32) {
+  address = other32.address;
+  control = other32.control;
+  leaving = other32.leaving;
+  changedAt = other32.changedAt;
+  storeHealthy = other32.storeHealthy;
+  peers = other32.peers;
+  quarantined = other32.quarantined;
+  domain = other32.domain;
+  storeStable = other32.storeStable;
+  changedAtEpoch = other32.changedAtEpoch;
+  acceptsRelays = other32.acceptsRelays;
+  crashes = other32.crashes;
+  viewAgeMs = other32.viewAgeMs;
+  capacity = other32.capacity;
+  __isset = other32.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other33) {
+  address = other33.address;
+  control = other33.control;
+  leaving = other33.leaving;
+  changedAt = other33.changedAt;
+  storeHealthy = other33.storeHealthy;
+  peers = other33.peers;
+  quarantined = other33.quarantined;
+  domain = other33.domain;
+  storeStable = other33.storeStable;
+  changedAtEpoch = other33.changedAtEpoch;
+  acceptsRelays = other33.acceptsRelays;
+  crashes = other33.crashes;
+  viewAgeMs = other33.viewAgeMs;
+  capacity = other33.capacity;
+  __isset = other33.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -792,23 +837,23 @@
   swap(a.__isset, b.__isset);
 }
 
-ViewChange::ViewChange(const ViewChange& other28) {
-  kind = other28.kind;
-  name = other28.name;
-  value = other28.value;
-  revision = other28.revision;
-  deleted = other28.deleted;
-  epoch = other28.epoch;
-  __isset = other28.__isset;
-}
-ViewChange& ViewChange::operator=(const ViewChange& other29) {
-  kind = other29.kind;
-  name = other29.name;
-  value = other29.value;
-  revision = other29.revision;
-  deleted = other29.deleted;
-  epoch = other29.epoch;
-  __isset = other29.__isset;
+ViewChange::ViewChange(const ViewChange& other34) {
+  kind = other34.kind;
+  name = other34.name;
+  value = other34.value;
+  revision = other34.revision;
+  deleted = other34.deleted;
+  epoch = other34.epoch;
+  __isset = other34.__isset;
+}
+ViewChange& ViewChange::operator=(const ViewChange& other35) {
+  kind = other35.kind;
+  name = other35.name;
+  value = other35.value;
+  revision = other35.revision;
+  deleted = other35.deleted;
+  epoch = other35.epoch;
+  __isset = other35.__isset;
   return *this;
 }
 void ViewChange::printTo(std::ostream& out) const {
@@ -928,14 +973,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->changes.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->changes.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->changes[_i34].read(iprot);
+              xfer += this->changes[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1014,10 +1059,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<ViewChange> ::const_iterator _iter35;
-    for (_iter35 = this->changes.begin(); _iter35 != this->changes.end(); ++_iter35)
+    std::vector<ViewChange> ::const_iterator _iter41;
+    for (_iter41 = this->changes.begin(); _iter41 != this->changes.end(); ++_iter41)
     {
-      xfer += (*_iter35).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1053,27 +1098,27 @@
   swap(a.__isset, b.__isset);
 }
 
-ViewUpdate::ViewUpdate(const ViewUpdate& other36) {
-  revision = other36.revision;
-  changedAt = other36.changedAt;
-  since = other36.since;
-  complete = other36.complete;
-  changes = other36.changes;
-  epoch = other36.epoch;
-  changedAtEpoch = other36.changedAtEpoch;
-  sinceEpoch = other36.sinceEpoch;
-  __isset = other36.__isset;
-}
-ViewUpdate& ViewUpdate::operator=(const ViewUpdate& other37) {
-  revision = other37.revision;
-  changedAt = other37.changedAt;
-  since = other37.since;
-  complete = other37.complete;
-  changes = other37.changes;
-  epoch = other37.epoch;
-  changedAtEpoch = other37.changedAtEpoch;
-  sinceEpoch = other37.sinceEpoch;
-  __isset = other37.__isset;
+ViewUpdate::ViewUpdate(const ViewUpdate& other42) {
+  revision = other42.revision;
+  changedAt = other42.changedAt;
+  since = other42.since;
+  complete = other42.complete;
+  changes = other42.changes;
+  epoch = other42.epoch;
+  changedAtEpoch = other42.changedAtEpoch;
+  sinceEpoch = other42.sinceEpoch;
+  __isset = other42.__isset;
+}
+ViewUpdate& ViewUpdate::operator=(const ViewUpdate& other43) {
+  revision = other43.revision;
+  changedAt = other43.changedAt;
+  since = other43.since;
+  complete = other43.complete;
+  changes = other43.changes;
+  epoch = other43.epoch;
+  changedAtEpoch = other43.changedAtEpoch;
+  sinceEpoch = other43.sinceEpoch;
+  __isset = other43.__isset;
   return *this;
 }
 void ViewUpdate::printTo(std::ostream& out) const {
--- a/src/gen/fleet_types.h
+++ b/src/gen/fleet_types.h
@@ -29,6 +29,10 @@
 
 class ViewUpdate;
 
+typedef struct _CrashReport__isset {
+  _CrashReport__isset() : services(false) {}
+  bool services :1;
+} _CrashReport__isset;
 
 class CrashReport : public virtual ::apache::thrift::TBase {
  public:
@@ -44,6 +48,9 @@
   int64_t content;
   std::vector<int64_t>  calls;
   int64_t ageMs;
+  std::vector<int64_t>  services;
+
+  _CrashReport__isset __isset;
 
   void __set_content(const int64_t val);
 
@@ -51,6 +58,8 @@
 
   void __set_ageMs(const int64_t val);
 
+  void __set_services(const std::vector<int64_t> & val);
+
   bool operator == (const CrashReport & rhs) const
   {
     if (!(content == rhs.content))
@@ -59,6 +68,10 @@
       return false;
     if (!(ageMs == rhs.ageMs))
       return false;
+    if (__isset.services != rhs.__isset.services)
+      return false;
+    else if (__isset.services && !(services == rhs.services))
+      return false;
     return true;
   }
   bool operator != (const CrashReport &rhs) const {
--- a/src/net/fleet_codec_func.cpp
+++ b/src/net/fleet_codec_func.cpp
@@ -109,6 +109,7 @@
       Entry.content = static_cast<int64_t>(Report.Content.Value);
       Entry.calls.assign(Report.Calls.begin(), Report.Calls.end());
       Entry.ageMs = Report.Age.count();
+      Entry.__set_services({Report.Services.begin(), Report.Services.end()});
       Wire.crashes.push_back(std::move(Entry));
     }
   }
@@ -161,7 +162,8 @@
       Result.Crashes->push_back(
           {base::Fingerprint(static_cast<uint64_t>(Entry.content)),
            {Entry.calls.begin(), Entry.calls.end()},
-           std::chrono::milliseconds(Entry.ageMs)});
+           std::chrono::milliseconds(Entry.ageMs),
+           {Entry.services.begin(), Entry.services.end()}});
     }
   }
   return Result;
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -204,7 +204,7 @@
   }
   ++this->Owner.Counters.ClosedForMemory;
   // The kernel may have taken bytes whose completion has not been handled yet.
-  this->fail(forward::AttemptFailure::Broken);
+  this->fail(forward::AttemptFailure::GivenUp);
 }
 
 void UpstreamConnection::resetReceived() {
@@ -351,7 +351,8 @@
     this->Current.reset();
     // Whether it opens still tells whether the server can be reached.
     this->Probe = true;
-    this->Owner.Handlers.OnAbandonedEnd(Ref, this->Server);
+    this->Owner.Handlers.OnAbandonedEnd(Ref, this->Server,
+                                        forward::AttemptFailure::NotSent);
     return;
   }
   this->Abandoned = true;
@@ -382,7 +383,7 @@
     return;
   }
   if (WasAbandoned) {
-    this->Owner.Handlers.OnAbandonedEnd(Failed->Order.Ref, this->Server);
+    this->Owner.Handlers.OnAbandonedEnd(Failed->Order.Ref, this->Server, Kind);
     return;
   }
   this->Owner.Handlers.OnFailure(Failed->Order.Ref, this->Server, Kind);
@@ -412,13 +413,13 @@
 bool UpstreamConnection::sweepBusy(base::TimePoint Now) {
   if (this->Abandoned && Now - this->AbandonedAt > DrainTime) {
     ++this->Owner.Counters.AbandonedClosed;
-    this->fail(forward::AttemptFailure::Broken);
+    this->fail(forward::AttemptFailure::GivenUp);
     return true;
   }
   if (this->Outgoing.isPending() &&
       Now - this->Outgoing.ProgressAt > UpstreamPool::WriteStallTime) {
     ++this->Owner.Counters.WritesStalled;
-    this->fail(forward::AttemptFailure::Broken);
+    this->fail(forward::AttemptFailure::GivenUp);
   }
   return false;
 }
--- a/src/net/upstream_type.h
+++ b/src/net/upstream_type.h
@@ -52,7 +52,8 @@
                      forward::AttemptFailure)>
       OnFailure;
   /** An abandoned attempt ended without a reply, or was never sent. */
-  std::function<void(const forward::AttemptRef &, forward::ServerKey)>
+  std::function<void(const forward::AttemptRef &, forward::ServerKey,
+                     forward::AttemptFailure)>
       OnAbandonedEnd;
   /** A connection without an attempt has opened, or failed to. */
   std::function<void(forward::ServerKey, bool Reached)> OnProbed;
--- a/tests/crash_report_test.cpp
+++ b/tests/crash_report_test.cpp
@@ -64,6 +64,8 @@
 
   std::vector<base::Duration> Crashes; ///< When servers crashed.
   std::optional<size_t> CutOff;        ///< Instance that gets no heartbeats.
+  /** Callers of the crashing request leave before the servers crash. */
+  bool CallersLeave = false;
 
 private:
   ForwardHarness makeInstance(size_t Index) {
@@ -107,6 +109,19 @@
     }
   }
 
+  void breakAttempt(ForwardHarness &Instance, const SendAttempt &Sent) const {
+    if (!this->CallersLeave) {
+      Instance.failAttempt(Sent, AttemptFailure::Broken);
+      return;
+    }
+    Instance.Engine.onCallerGone(Instance.Now, forward::CallId(Sent.Ref.Call),
+                                 Instance.Out);
+    Instance.takeActions<forward::AbandonAttempt>();
+    Instance.Engine.onAbandonedAttemptEnded(Instance.Now, Sent.Ref, Sent.Server,
+                                            AttemptFailure::Broken,
+                                            Instance.Out);
+  }
+
   bool isDown(const std::string &Server) const {
     auto Found = this->DownUntil.find(Server);
     return Found != this->DownUntil.end() && this->Elapsed < Found->second;
@@ -120,7 +135,7 @@
       } else if (this->CrashingCalls.count({Index, Sent.Ref.Call}) != 0) {
         this->Crashes.push_back(this->Elapsed);
         this->DownUntil[Sent.ServerId.Value] = this->Elapsed + RestartTime;
-        Instance.failAttempt(Sent, AttemptFailure::Broken);
+        this->breakAttempt(Instance, Sent);
       } else {
         Instance.reply(Sent, ForwardHarness::successReply("sig"));
       }
@@ -165,7 +180,7 @@
   }
   CHECK(Record.isQuarantined(Now + 100ms, base::Fingerprint(9)));
   CHECK(Record.reports(Now + 1s).empty());
-  Record.discardUnreported(Now + 1s);
+  Record.setLinksLost(Now + 1s, true);
   CHECK_FALSE(Record.isQuarantined(Now + 1s, base::Fingerprint(9)));
   CHECK(Record.reports(Now + 3s).empty());
 }
@@ -233,6 +248,7 @@
 TEST_CASE("a request that crashed three servers is stopped on all instances",
           "[forward]") {
   CrashFleet Fleet;
+  Fleet.CallersLeave = GENERATE(false, true);
   Fleet.CutOff = 5;
   Fleet.run(8s);
   Fleet.restart(7);
--- a/tests/forward_memory_test.cpp
+++ b/tests/forward_memory_test.cpp
@@ -19,8 +19,9 @@
   Harness.sendRequest("one.example", "/one/x", 4s);
   auto Sent = Harness.takeActions<forward::SendAttempt>();
   REQUIRE(Sent.size() == 1);
-  Harness.Engine.onAbandonedAttemptEnded(Harness.Now, Sent[0].Ref,
-                                         Sent[0].Server);
+  Harness.Engine.onAbandonedAttemptEnded(
+      Harness.Now, Sent[0].Ref, Sent[0].Server,
+      forward::AttemptFailure::NotSent, Harness.Out);
   Harness.Engine.onProbeResult(Harness.Now, Sent[0].Server, false);
   for (int I = 0; I < 5; ++I) {
     Harness.sendRequest("one.example", "/one/x", 4s);
--- a/tests/relay_limits_test.cpp
+++ b/tests/relay_limits_test.cpp
@@ -103,8 +103,9 @@
       } // Others are never answered.
     }
     for (const auto &Ended : Member.takeActions<forward::AbandonAttempt>()) {
-      Member.Engine.onAbandonedAttemptEnded(Member.Now, Ended.Ref,
-                                            Ended.Server);
+      Member.Engine.onAbandonedAttemptEnded(Member.Now, Ended.Ref, Ended.Server,
+                                            forward::AttemptFailure::GivenUp,
+                                            Member.Out);
     }
     for (const auto &Probe : Member.takeActions<forward::ProbeConnection>()) {
       Member.Engine.onProbeResult(Member.Now, Probe.Server,
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -430,8 +430,9 @@
       replyToRelay(Harness, Relayed, Answer);
     }
     for (const auto &Ended : Harness.takeActions<forward::AbandonAttempt>()) {
-      Harness.Engine.onAbandonedAttemptEnded(Harness.Now, Ended.Ref,
-                                             Ended.Server);
+      Harness.Engine.onAbandonedAttemptEnded(
+          Harness.Now, Ended.Ref, Ended.Server, AttemptFailure::GivenUp,
+          Harness.Out);
     }
     Harness.Engine.probeServers(Harness.Now, Harness.Out);
   }
--- a/tests/reply_size_test.cpp
+++ b/tests/reply_size_test.cpp
@@ -24,7 +24,8 @@
                      forward::Reply &&) { ++this->Replies; },
               [this](const forward::AttemptRef &, forward::ServerKey,
                      forward::AttemptFailure) { ++this->Failures; },
-              [](const forward::AttemptRef &, forward::ServerKey) {},
+              [](const forward::AttemptRef &, forward::ServerKey,
+                 forward::AttemptFailure) {},
               [](forward::ServerKey, bool) {}}) {}
 
   void send(uint64_t Number, const std::string &Address) {
--- a/tests/slow_reader_test.cpp
+++ b/tests/slow_reader_test.cpp
@@ -109,7 +109,8 @@
        },
        [this](const forward::AttemptRef &, forward::ServerKey,
               forward::AttemptFailure Kind) { this->Failures.push_back(Kind); },
-       [](const forward::AttemptRef &, forward::ServerKey) {},
+       [](const forward::AttemptRef &, forward::ServerKey,
+          forward::AttemptFailure) {},
        [](forward::ServerKey, bool) {}}};
 };
 
--- a/thrift/fleet.thrift
+++ b/thrift/fleet.thrift
@@ -7,6 +7,7 @@
   1: required i64 content;
   2: required list<i64> calls; // unique among all instances
   3: required i64 ageMs;       // since the last known crash
+  4: optional list<i64> services; // of each call; not in older releases
 }
 
 // One datagram, sent to every known instance at a fixed period.
