Cut odd numbers that servers, callers and operators state

A keep-alive time of a server above about 292 years, a remaining time "nan" of a caller, and huge loads gave times that overflow, which is undefined: negative times on one kind of machine, the longest ones on the other.

New: "odd numbers of servers and callers are cut or ignored", "shares and weights out of range are refused".

--- a/src/base/time_type.h
+++ b/src/base/time_type.h
@@ -1,7 +1,9 @@
 #ifndef HICKORYCRANK_BASE_TIME_TYPE_H
 #define HICKORYCRANK_BASE_TIME_TYPE_H
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace hickorycrank::base {
 
@@ -19,14 +21,25 @@
   return std::chrono::duration<double, std::milli>(Value).count();
 }
 
+/** Longest span that fromMilliseconds() returns: far above any use, and far
+ * enough from the limits of the clock to be added to a time. */
+inline constexpr std::chrono::hours MaxSpan(24 * 365);
+
 /**
  * Converts fractional milliseconds back to a duration.
- * @param Milliseconds Span in milliseconds.
- * @return The span, rounded towards zero to the clock's resolution.
+ * @param Milliseconds Span in milliseconds; may be computed from numbers that
+ *   others state.
+ * @return The span, rounded towards zero to the clock's resolution and cut to
+ *   MaxSpan; zero for a NaN.
  */
 inline Duration fromMilliseconds(double Milliseconds) {
+  using FractionalMilliseconds = std::chrono::duration<double, std::milli>;
+  if (std::isnan(Milliseconds)) {
+    return Duration::zero();
+  }
+  constexpr double Most = FractionalMilliseconds(MaxSpan).count();
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(Milliseconds));
+      FractionalMilliseconds(std::clamp(Milliseconds, -Most, Most)));
 }
 
 } // namespace hickorycrank::base
--- a/src/daemon/gateway_message_func.cpp
+++ b/src/daemon/gateway_message_func.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/** Longest time that a caller may state, in milliseconds; above any use. */
+constexpr double MaxRemainingMs = 1e9;
+
 unsigned statusOf(const forward::Refusal &Refused) {
   if (Refused.Reason == forward::RefusalReason::NoRoute) {
     return 404;
@@ -72,7 +75,8 @@
   double Milliseconds = 0;
   auto [End, Status] =
       std::from_chars(Text.data(), Text.data() + Text.size(), Milliseconds);
-  if (Status != std::errc() || Milliseconds < 0 || Milliseconds > 1e9) {
+  bool InRange = Milliseconds >= 0 && Milliseconds <= MaxRemainingMs;
+  if (Status != std::errc() || !InRange) { // A NaN is not in range either.
     return std::nullopt;
   }
   return std::chrono::milliseconds(static_cast<int64_t>(Milliseconds));
--- a/src/net/forward_header_func.cpp
+++ b/src/net/forward_header_func.cpp
@@ -94,7 +94,9 @@
   if (Status != std::errc() || Seconds < 0) {
     return std::nullopt;
   }
-  return std::chrono::seconds(Seconds);
+  int64_t Most =
+      std::chrono::floor<std::chrono::seconds>(MaxStatedTime).count();
+  return std::chrono::seconds(std::min(Seconds, Most));
 }
 
 std::optional<forward::LoadReport> parseLoad(std::string_view Text) {
--- a/src/net/forward_header_func.h
+++ b/src/net/forward_header_func.h
@@ -31,7 +31,7 @@
 /**
  * Reads a Keep-Alive field.
  * @param Text Value of the field.
- * @return Idle time that the sender allows, or nothing.
+ * @return Idle time that the sender allows, at most ten minutes, or nothing.
  */
 std::optional<base::Duration> parseKeepAlive(std::string_view Text);
 
--- a/tests/foreign_bytes_test.cpp
+++ b/tests/foreign_bytes_test.cpp
@@ -1,14 +1,17 @@
 // Tests that bytes of servers, callers, the store and peers which the HTTP
 // parser cannot hold cost one connection.
+#include "daemon/gateway_message_func.h"
 #include "gateway_harness.h"
 #include "hostile_text.h"
 #include "net/bounded_parse_func.h"
+#include "net/forward_header_func.h"
 #include "net/http_pool_base.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <catch2/catch.hpp>
+#include <limits>
 #include <optional>
 #include <string>
 
@@ -203,3 +206,25 @@
     }
   }));
 }
+
+// Guards against times of servers and callers that overflow, so that a
+// connection stays idle without end or a request ends before it begins.
+TEST_CASE("odd numbers of servers and callers are cut or ignored",
+          "[gateway]") {
+  CHECK(net::parseKeepAlive("timeout=5") == 5s);
+  CHECK(net::parseKeepAlive("timeout=9223372036854775807") == 10min);
+  CHECK(net::parseKeepAlive("timeout=9223372037") == 10min);
+  CHECK_FALSE(net::parseKeepAlive("timeout=99999999999999999999"));
+  net::ForwardHeaders Names;
+  Names.Remaining = "X-Remaining";
+  for (const char *Odd : {"nan", "-nan", "inf", "1e300", "-1", "", "x"}) {
+    INFO(Odd);
+    net::ForwardRequest Request;
+    Request.set(Names.Remaining, Odd);
+    CHECK_FALSE(daemon::remainingTime(Request, Names));
+  }
+  CHECK(base::fromMilliseconds(1e300) == base::MaxSpan);
+  CHECK(base::fromMilliseconds(-1e300) == -base::MaxSpan);
+  CHECK(base::fromMilliseconds(std::numeric_limits<double>::quiet_NaN()) == 0s);
+  CHECK(base::fromMilliseconds(1.5) == 1500us);
+}
--- a/tests/platform_fuzz_test.cpp
+++ b/tests/platform_fuzz_test.cpp
@@ -179,3 +179,23 @@
     RC_ASSERT(readOrExplained(Found));
   }));
 }
+
+// Guards against shares and weights for which no number of shards and no
+// service can be computed.
+TEST_CASE("shares and weights out of range are refused", "[fuzz]") {
+  auto Store = platform::makeStoreDialect();
+  for (const auto &[Valid, Key] :
+       {std::pair("\"min-shard-fraction\":0.75", "min-shard-fraction"),
+        std::pair("\"weight\":3", "weight")}) {
+    for (const char *Number : {"-1", "1e300", "1e400", "-0.1", "null"}) {
+      std::string Text = ValidRoutes;
+      Text.replace(Text.find(Valid), std::string(Valid).size(),
+                   "\"" + std::string(Key) + "\":" + Number);
+      INFO(Text);
+      auto Read =
+          Store.DecodeRoutes({ItemKind::Configuration, "", Text, {1, 1}});
+      REQUIRE_FALSE(Read);
+      CHECK(Read.error().Message.find(Key) != std::string::npos);
+    }
+  }
+}
