Report attempts that are waited for as broken when they are given up

Since "Record crashes of servers during abandoned attempts" an attempt whose write stalled, or that was closed for memory, was reported as given up also while a call waits for it; "a request that a server does not read is broken" failed. The engine treats both alike. Only abandoned attempts need the difference.

--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -386,7 +386,11 @@
     this->Owner.Handlers.OnAbandonedEnd(Failed->Order.Ref, this->Server, Kind);
     return;
   }
-  this->Owner.Handlers.OnFailure(Failed->Order.Ref, this->Server, Kind);
+  // A caller that waits is told only whether the server may have the request.
+  bool Unsent = Kind == forward::AttemptFailure::NotSent;
+  this->Owner.Handlers.OnFailure(Failed->Order.Ref, this->Server,
+                                 Unsent ? Kind
+                                        : forward::AttemptFailure::Broken);
 }
 
 bool UpstreamConnection::sweep(base::TimePoint Now) {
