Reject servers whose id is too long for a header field

Each request names the server that may run it. The test of odd ids holds one of 1,025 and one of 70,000 bytes; both were taken for servers before.

--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -55,13 +55,15 @@
   }
 }
 
-// Guards against an id that adds header fields to the requests to its address.
+// Guards against an id that adds header fields to the requests to its address,
+// or that the HTTP library cannot hold in one, which would end the process.
 TEST_CASE("an entry whose id is no header value names no server",
           "[platform]") {
   auto Store = platform::makeStoreDialect();
   for (const std::string &Id :
        {std::string("i-1\r\nX-Other: 1"), std::string("i\n1"), std::string(),
-        std::string("i\0001", 3)}) {
+        std::string("i\0001", 3), std::string(1'025, 'i'),
+        std::string(70'000, 'i')}) {
     CHECK_FALSE(Store.DecodeServer(
         {ItemKind::Server, Id, serverEntry("", ""), {1, 1}}));
   }
