Fail parts whose signature does not fit a merged answer

A merged answer names the signatures of its parts in one header field. Servers may send some 8 kB each, so that ten faulty ones made a field of more than 65,533 bytes, for which the HTTP library throws: the process ended, as with overlong trailers. A signature may take its share of 60,000 bytes now; a longer one fails its part as if it were missing, so that another server is asked, and is counted.

--- a/src/daemon/gateway_metrics.cpp
+++ b/src/daemon/gateway_metrics.cpp
@@ -54,6 +54,7 @@
   Text.count("attempts_broken", Counted.Broken);
   Text.count("connection_probes", Counted.Probes);
   Text.count("late_replies", Counted.LateReplies);
+  Text.count("signatures_too_long", Counted.SignaturesTooLong);
   Text.count("rate_limit_replies", Counted.RateLimitReplies);
   Text.count("retry_after_replies", Counted.RetryAfterReplies);
   Text.count("parts_cold_limited", Counted.ColdLimited);
--- a/src/forward/engine_replies.cpp
+++ b/src/forward/engine_replies.cpp
@@ -11,6 +11,20 @@
 
 namespace {
 
+/** Maximum size of the header field with the signatures of all parts. Callers
+ * limit whole heads to 64 KiB or less, and so does the HTTP library. */
+constexpr size_t MaxSignaturesBytes = 60'000;
+/** Between two signatures: a comma and a space. */
+constexpr size_t SeparatorBytes = 2;
+
+/** @return Whether the signature of a part takes more than its share of the
+ * answer's header field. */
+bool isSignatureTooLong(const Call &CurrentCall, const Reply &Received) {
+  return CurrentCall.MatchedRoute->fansOut() &&
+         Received.Signature.size() + SeparatorBytes >
+             MaxSignaturesBytes / CurrentCall.Parts.size();
+}
+
 bool isSuccess(const Reply &Received) {
   return Received.Status >= 200 && Received.Status < 300 &&
          !Received.Signature.empty();
@@ -81,6 +95,10 @@
   Part &CurrentPart = CurrentCall->Parts[Ref.Part];
   Attempt &Ended = CurrentPart.Attempts[Ref.Attempt];
   Ended.Live = false;
+  if (isSignatureTooLong(*CurrentCall, Received)) {
+    ++this->Counters.SignaturesTooLong;
+    Received.Signature.clear(); // The part fails as if it had none.
+  }
   if (!isSuccess(Received)) {
     this->handleErrorReply(Now, *CurrentCall, Ref, std::move(Received), Out);
     this->advance(Now, *CurrentCall, Out);
--- a/src/forward/engine_type.h
+++ b/src/forward/engine_type.h
@@ -43,6 +43,8 @@
   uint64_t Broken = 0;
   uint64_t Probes = 0;
   uint64_t LateReplies = 0; ///< Of abandoned attempts.
+  /** Replies of shards whose signature does not fit into a merged answer. */
+  uint64_t SignaturesTooLong = 0;
   uint64_t RateLimitReplies = 0;  ///< Replies that state a rate limit.
   uint64_t RetryAfterReplies = 0; ///< Rejections that ask for a pause.
   uint64_t ColdLimited = 0;    ///< Parts held back or omitted by cold limits.
--- a/tests/foreign_bytes_test.cpp
+++ b/tests/foreign_bytes_test.cpp
@@ -1,6 +1,7 @@
 // Tests that bytes of servers, callers, the store and peers which the HTTP
 // parser cannot hold cost one connection.
 #include "daemon/gateway_message_func.h"
+#include "forward_harness.h"
 #include "gateway_harness.h"
 #include "hostile_text.h"
 #include "net/bounded_parse_func.h"
@@ -207,6 +208,36 @@
   }));
 }
 
+// Guards against a merged answer that ends the process, because the signatures
+// of its parts are together longer than the HTTP library can hold.
+TEST_CASE("a signature that is too long fails its part", "[gateway]") {
+  constexpr size_t LongSignatureBytes = 7'000;
+  bool All = GENERATE(false, true);
+  ForwardHarness Harness = ForwardHarness::tenShards(0.5);
+  Harness.sendRequest("wide.example", "/wide/x");
+  std::vector<forward::RespondCall> Answers;
+  for (int Round = 0; Round < 40 && Answers.empty(); ++Round) {
+    for (const auto &Sent : Harness.takeActions<forward::SendAttempt>()) {
+      bool Long = All || Sent.ServerId.Value.starts_with("s1");
+      Harness.reply(Sent, ForwardHarness::successReply(
+                              std::string(Long ? LongSignatureBytes : 9, 's'),
+                              std::string(16, 'r')));
+    }
+    Harness.advanceTime(20ms);
+    Answers = Harness.takeActions<forward::RespondCall>();
+  }
+  REQUIRE(Answers.size() == 1);
+  net::ForwardHeaders Names;
+  Names.PartSignatures = "X-Parts";
+  Names.MissingParts = "X-Missing";
+  auto Response = daemon::toResponse(Answers[0].Result, Names);
+  CHECK(Response.result_int() == (All ? 502 : 200));
+  if (!All) {
+    CHECK(Response["X-Missing"] == "1");
+  }
+  CHECK(Harness.Engine.counters().SignaturesTooLong >= (All ? 10 : 1));
+}
+
 // Guards against times of servers and callers that overflow, so that a
 // connection stays idle without end or a request ends before it begins.
 TEST_CASE("odd numbers of servers and callers are cut or ignored",
