Relay no request whose list of tried servers is too long

A relayed request names the servers that may have it. The names come from the configuration and the store, and nothing bounded their sum; above 65,533 bytes the HTTP library throws and the process ends. The receiver allows 32,768 bytes more than for callers, which is the limit now: a relay with more counts as not sent, the call fails as if no peer were left, and peer.too_many_tried is logged.

New: "a list of tried servers that is too long is not sent".

--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -373,9 +373,22 @@
   Order.Address = Request.Address;
   Order.Remaining = Request.Remaining;
   Order.Idempotent = Request.Idempotent;
+  auto Tried = net::encodeTriedServers(Request.Tried);
+  if (!Tried) {
+    this->failRelay(Request);
+    return;
+  }
   this->PeerLinks.send({Order, Owner->second.Source,
-                        forward::PeerSet::MaxOutstanding,
-                        net::encodeTriedServers(Request.Tried)});
+                        forward::PeerSet::MaxOutstanding, std::move(*Tried)});
+}
+
+void Gateway::failRelay(const forward::RelayRequest &Request) {
+  this->EventLog.log(Clock::now(), LogLevel::Warning, "peer.too_many_tried",
+                     {{"servers", std::to_string(Request.Tried.size())}});
+  forward::Actions Actions;
+  this->Engine.onRelayFailure(suspendAwareNow(), Request.Ref, Request.Peer,
+                              forward::AttemptFailure::NotSent, Actions);
+  this->executeActions(std::move(Actions));
 }
 
 void Gateway::execute(const forward::LogRateLimit &Limit) {
--- a/src/daemon/gateway_base.h
+++ b/src/daemon/gateway_base.h
@@ -109,6 +109,8 @@
   void executeActions(forward::Actions &&Actions);
   void execute(const forward::SendAttempt &Send);
   void execute(const forward::RelayRequest &Request);
+  /** Ends a relay whose list of tried servers does not fit a header field. */
+  void failRelay(const forward::RelayRequest &Request);
   void execute(const forward::LogRateLimit &Limit);
   void execute(const forward::LogColdState &State);
   void execute(const forward::LogReachability &Links);
--- a/src/daemon/gateway_view.cpp
+++ b/src/daemon/gateway_view.cpp
@@ -4,6 +4,7 @@
 #include "daemon/suspend_clock_func.h"
 #include "fleet/view_freshness_func.h"
 #include "net/fleet_codec_func.h"
+#include "net/relay_header_func.h"
 
 #include <charconv>
 #include <cmath>
@@ -16,10 +17,6 @@
 
 namespace {
 
-/** Header bytes that an instance may add to a request that it relays: two
- * servers at each of several hundred shards. */
-constexpr uint32_t AddedHeaderBytes = 32'768;
-
 /** @return Value of a query parameter; 0 if it is missing or no number. */
 uint64_t numberParameter(const net::HttpRequest &Request,
                          const std::string &Name) {
@@ -93,7 +90,7 @@
     }
     this->CallerServer.setLimits(Table->Limits);
     forward::CallerLimits RelayLimits = Table->Limits;
-    RelayLimits.MaxHeaderBytes += AddedHeaderBytes;
+    RelayLimits.MaxHeaderBytes += net::MaxRelayTriedBytes;
     this->RelayServer.setLimits(RelayLimits);
     logEvent(LogLevel::Info, "configuration.in_force",
              {{"version", std::to_string(Table->Version)},
--- a/src/net/relay_header_func.cpp
+++ b/src/net/relay_header_func.cpp
@@ -19,7 +19,8 @@
 
 } // namespace
 
-std::string encodeTriedServers(const std::vector<forward::TriedServer> &Tried) {
+std::optional<std::string>
+encodeTriedServers(const std::vector<forward::TriedServer> &Tried) {
   std::string Text;
   const std::string *Service = nullptr;
   for (const forward::TriedServer &Entry : Tried) {
@@ -31,6 +32,9 @@
       Text += ",";
     }
     Text += encodePercent(Entry.Server.Value);
+    if (Text.size() > MaxRelayTriedBytes) {
+      return std::nullopt;
+    }
   }
   return Text;
 }
--- a/src/net/relay_header_func.h
+++ b/src/net/relay_header_func.h
@@ -3,6 +3,8 @@
 
 #include "forward/call_type.h"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,12 +17,18 @@
  */
 inline constexpr const char *RelayUnsentField = "Relay-Unsent";
 
+/** Maximum size of the value of RelayTriedField: two servers at each of several
+ * hundred shards. The HTTP library cannot hold fields of more than 64 KiB. */
+inline constexpr uint32_t MaxRelayTriedBytes = 32'768;
+
 /**
  * Writes the value of RelayTriedField.
  * @param Tried The servers; those of one service follow each other.
- * @return "SERVICE=ID,ID;SERVICE=ID", each name percent-encoded.
+ * @return "SERVICE=ID,ID;SERVICE=ID", each name percent-encoded; nothing if it
+ *   is longer than MaxRelayTriedBytes.
  */
-std::string encodeTriedServers(const std::vector<forward::TriedServer> &Tried);
+std::optional<std::string>
+encodeTriedServers(const std::vector<forward::TriedServer> &Tried);
 
 /**
  * Reads the value of RelayTriedField.
--- a/tests/relay_limits_test.cpp
+++ b/tests/relay_limits_test.cpp
@@ -160,7 +160,7 @@
     Request.Relayed = true;
     if (this->PassTried) {
       Request.Tried =
-          net::decodeTriedServers(net::encodeTriedServers(Sent.Tried));
+          net::decodeTriedServers(net::encodeTriedServers(Sent.Tried).value());
     }
     // An answer may come at once.
     auto Id = Peer.Engine.onRequest(Peer.Now, Request, Peer.Out);
@@ -305,7 +305,8 @@
       {"portal~1", base::ServerId("i-1")},
       {"portal~1", base::ServerId("i,2;x=y")},
       {"a b=c", base::ServerId("i-3")}};
-  auto Decoded = net::decodeTriedServers(net::encodeTriedServers(Tried));
+  auto Decoded =
+      net::decodeTriedServers(net::encodeTriedServers(Tried).value());
   REQUIRE(Decoded.size() == Tried.size());
   for (size_t I = 0; I < Tried.size(); ++I) {
     CHECK(Decoded[I].Service == Tried[I].Service);
@@ -314,3 +315,17 @@
   CHECK(net::decodeTriedServers("").empty());
   CHECK(net::decodeTriedServers("=x;;a;b=").empty());
 }
+
+// Guards against a relay that ends the process, because its list of tried
+// servers is longer than the HTTP library can hold.
+TEST_CASE("a list of tried servers that is too long is not sent", "[forward]") {
+  std::vector<forward::TriedServer> Tried;
+  for (int I = 0; I < 900; ++I) {
+    Tried.push_back({"shard-" + std::to_string(I / 2),
+                     base::ServerId("i-" + std::to_string(I))});
+  }
+  REQUIRE(net::encodeTriedServers(Tried));
+  CHECK(net::decodeTriedServers(*net::encodeTriedServers(Tried)).size() == 900);
+  Tried.push_back({"s", base::ServerId(std::string(70'000, 'i'))});
+  CHECK_FALSE(net::encodeTriedServers(Tried));
+}
