Reject replies that hold another reply's status line

Cause: both were parsed as one reply with the status and first fields of the copy and the attempt id of the answer. The complete status line of the answer stands within a field or the reason phrase then; such a reply is malformed now, its attempt broken and its connection closed. The answers of the store and of peers' views get the same check.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "net/http_connection_base.h"
 
 #include "net/forward_header_func.h"
+#include "net/reply_check_func.h"
 #include "net/socket_func.h"
 
 #include <algorithm>
@@ -181,6 +182,10 @@
     this->fail({ExchangeStage::Sent, classify(Failure)});
     return;
   }
+  if (holdsOtherReply(this->Incoming->get())) {
+    this->fail({ExchangeStage::Sent, ExchangeFault::Garbage});
+    return;
+  }
   this->InExchange = false;
   http::response<http::string_body> Message = this->Incoming->release();
   this->Stream.expires_never();
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -4,6 +4,7 @@
 #include "net/bounded_parse_func.h"
 #include "net/forward_header_func.h"
 #include "net/relay_header_func.h"
+#include "net/reply_check_func.h"
 #include "net/socket_func.h"
 #include "net/upstream_pool_base.h"
 
@@ -254,6 +255,10 @@
     if (!this->Incoming->is_done()) {
       return;
     }
+    if (holdsOtherReply(this->Incoming->get())) {
+      this->failMalformed("another reply within a head");
+      return;
+    }
     if (this->isForeign(*this->Incoming)) {
       this->Incoming.reset();
       this->SawForeign = true;
