Collect new quarantines when they arise

To log them, the engine sorted all crash histories 20 times a second; with thousands of histories after a large crash that takes about as much processor time as control may take. The record now notes a quarantine when a call completes it.

--- a/src/forward/crash_record.cpp
+++ b/src/forward/crash_record.cpp
@@ -93,7 +93,7 @@
     for (CrashedCall &Entry : Doubted) {
       Entry.Kind = Evidence::Confirmed;
       ++this->Counters.Confirmed;
-      addCall(History, Entry);
+      this->addCall(Content, History, Entry);
     }
   }
 }
@@ -126,7 +126,8 @@
   }
   CrashHistory &History = this->Histories[Ended.Content];
   History.LastCrash = Now;
-  if (addCall(History, {Ended.Call, Now, Kind, Server, Ended.Service})) {
+  if (this->addCall(Ended.Content, History,
+                    {Ended.Call, Now, Kind, Server, Ended.Service})) {
     ++this->Counters.Calls;
     this->Counters.Doubted += Kind == Evidence::Doubted ? 1 : 0;
     this->Counters.Confirmed += Kind == Evidence::Confirmed ? 1 : 0;
@@ -139,7 +140,8 @@
       [](const auto &Entry) { return Entry.Kind != Evidence::Doubted; }));
 }
 
-bool CrashRecord::addCall(CrashHistory &History, const CrashedCall &Added) {
+bool CrashRecord::addCall(base::Fingerprint Content, CrashHistory &History,
+                          const CrashedCall &Added) {
   if (Added.Kind == Evidence::Doubted) {
     // Each server may confirm the call.
     if (History.Calls.size() >= MinCrashedCalls + MaxDoubtedCalls) {
@@ -156,6 +158,9 @@
     return false;
   }
   History.Calls.push_back(Added);
+  if (countCalls(History) == MinCrashedCalls) {
+    this->NewQuarantines.push_back(Content);
+  }
   return true;
 }
 
@@ -173,7 +178,7 @@
   CrashHistory &History = this->Histories[Content];
   History.LastCrash = Now;
   for (uint64_t Call = 0; countCalls(History) < MinCrashedCalls; ++Call) {
-    addCall(History, {Call, Now, Evidence::FromPeer, {}, {}});
+    this->addCall(Content, History, {Call, Now, Evidence::FromPeer, {}, {}});
   }
 }
 
@@ -191,7 +196,8 @@
   for (size_t I = 0; I < Report.Calls.size(); ++I) {
     uint64_t Service = I < Report.Services.size() ? Report.Services[I] : 0;
     if (!this->Replies.contains(Now, Report.Content, Service)) {
-      addCall(History, {Report.Calls[I], Now, Evidence::FromPeer, {}, Service});
+      this->addCall(Report.Content, History,
+                    {Report.Calls[I], Now, Evidence::FromPeer, {}, Service});
     }
   }
   if (History.Calls.empty()) {
--- a/src/forward/crash_record_base.h
+++ b/src/forward/crash_record_base.h
@@ -124,6 +124,11 @@
    * most MaxReports. */
   std::vector<base::Fingerprint> quarantined(base::TimePoint Now) const;
 
+  /** @return Content that has been quarantined since the last call. */
+  std::vector<base::Fingerprint> takeNewQuarantines() {
+    return std::exchange(this->NewQuarantines, {});
+  }
+
   /** Maximum number of reports in a heartbeat, which must fit a datagram. */
   static constexpr size_t MaxReports = 64;
 
@@ -168,7 +173,9 @@
   static uint64_t hashService(std::string_view Name);
   void countCrash(base::TimePoint Now, ServerKey Server,
                   const BrokenAttempt &Ended, Evidence Kind);
-  static bool addCall(CrashHistory &History, const CrashedCall &Added);
+  /** @return Whether the call was added; it may complete a quarantine. */
+  bool addCall(base::Fingerprint Content, CrashHistory &History,
+               const CrashedCall &Added);
   static size_t countCalls(const CrashHistory &History);
   static bool isReportable(base::TimePoint Now, const CrashedCall &Entry);
   static bool isQuarantined(base::TimePoint Now, const CrashHistory &History);
@@ -179,6 +186,7 @@
   std::unordered_map<ServerKey, std::vector<BrokenAttempt>> BrokenAttempts;
   std::unordered_map<base::Fingerprint, CrashHistory> Histories;
   ReplyMemory Replies;
+  std::vector<base::Fingerprint> NewQuarantines; ///< Not yet taken.
   bool LinksLost = false;
   CrashCounters Counters;
 };
--- a/src/forward/engine.cpp
+++ b/src/forward/engine.cpp
@@ -227,7 +227,7 @@
   }
   this->updateColdStates(Now, Out);
   this->updateReachability(Now, Out);
-  this->logQuarantines(Now, Out);
+  this->logQuarantines(Out);
 }
 
 void Engine::probe(Server &Suspect, Actions &Out) {
--- a/src/forward/engine_base.h
+++ b/src/forward/engine_base.h
@@ -367,7 +367,7 @@
   /** Records the attempts that were in flight when a server restarted. */
   void recordRestart(base::TimePoint Now, const EndedIncarnation &Ended);
   /** Logs content that has been quarantined since the last call. */
-  void logQuarantines(base::TimePoint Now, Actions &Out);
+  void logQuarantines(Actions &Out);
 
   // Replies (engine_replies.cpp).
   void handleReply(base::TimePoint Now, const AttemptRef &Ref, ServerKey Key,
@@ -455,7 +455,6 @@
   size_t DomainInstances = 1;
   bool AssignmentsDue = false; ///< updateAssignments() has something to do.
   CrashRecord Crashes;
-  std::vector<base::Fingerprint> LoggedQuarantines; ///< Still in force.
   EngineCounters Counters;
   std::unordered_map<uint64_t, std::unique_ptr<Call>> Calls;
   std::unordered_map<std::string, limits::LatencyModel>
--- a/src/forward/engine_crashes.cpp
+++ b/src/forward/engine_crashes.cpp
@@ -1,9 +1,5 @@
 #include "forward/engine_base.h"
 
-#include <algorithm>
-#include <utility>
-#include <vector>
-
 namespace hickorycrank::forward {
 
 using base::TimePoint;
@@ -17,16 +13,10 @@
   this->Crashes.recordRestart(Now, Ended.Key);
 }
 
-void Engine::logQuarantines(TimePoint Now, Actions &Out) {
-  std::vector<base::Fingerprint> Current = this->Crashes.quarantined(Now);
-  for (base::Fingerprint Content : Current) {
-    if (std::find(this->LoggedQuarantines.begin(),
-                  this->LoggedQuarantines.end(),
-                  Content) == this->LoggedQuarantines.end()) {
-      Out.push_back(LogQuarantine{Content});
-    }
+void Engine::logQuarantines(Actions &Out) {
+  for (base::Fingerprint Content : this->Crashes.takeNewQuarantines()) {
+    Out.push_back(LogQuarantine{Content});
   }
-  this->LoggedQuarantines = std::move(Current);
 }
 
 } // namespace hickorycrank::forward
--- a/tests/abandoned_crash_test.cpp
+++ b/tests/abandoned_crash_test.cpp
@@ -149,6 +149,23 @@
   CHECK(Harness.takeActions<forward::ProbeConnection>().empty());
 }
 
+// Guards against operators who cannot see why requests are refused.
+TEST_CASE("a quarantine is logged once", "[forward]") {
+  ForwardHarness Harness = makeHarness();
+  for (int Call = 0; Call < 3; ++Call) {
+    ask(Harness, CrashingContent);
+    for (const auto &Sent : Harness.takeActions<SendAttempt>()) {
+      Harness.failAttempt(Sent, AttemptFailure::Broken);
+      Harness.Engine.onProbeResult(Harness.Now, Sent.Server, false);
+    }
+    Harness.advanceTime(10ms);
+    Harness.Engine.probeServers(Harness.Now, Harness.Out);
+  }
+  auto Logged = Harness.takeActions<forward::LogQuarantine>();
+  REQUIRE(Logged.size() == 1);
+  CHECK(Logged[0].Content == Crashing);
+}
+
 // Guards against losing the evidence when the connections of an incarnation
 // are retired before they break, or its entry vanishes and returns.
 TEST_CASE("a restart during an attempt counts as a crash", "[forward]") {
