--- a/tests/relay_limits_test.cpp
+++ b/tests/relay_limits_test.cpp
@@ -320,6 +320,7 @@
 // servers is longer than the HTTP library can hold.
 TEST_CASE("a list of tried servers that is too long is not sent", "[forward]") {
   std::vector<forward::TriedServer> Tried;
+  Tried.reserve(901);
   for (int I = 0; I < 900; ++I) {
     Tried.push_back({"shard-" + std::to_string(I / 2),
                      base::ServerId("i-" + std::to_string(I))});
