--- a/src/forward/reply_memory_base.h
+++ b/src/forward/reply_memory_base.h
@@ -11,8 +11,8 @@
 
 /**
  * Remembers for some seconds which request content servers of which service
- * have executed and replied to. Memory is bounded: the oldest half is dropped
- * when a limit is reached.
+ * have executed and replied to. Memory is bounded: if a limit is reached, the
+ * older replies are forgotten before MinAge.
  */
 class ReplyMemory {
 public:
@@ -29,8 +29,8 @@
    * @param Now Current time.
    * @param Content Content of a request.
    * @param Service Hash of a service.
-   * @return Whether one of its servers has executed such a request and replied
-   *   within the last MinAge, and not longer ago than twice that time.
+   * @return Whether a reply of one of its servers to such a request is
+   *   remembered; see MinAge.
    */
   bool contains(base::TimePoint Now, base::Fingerprint Content,
                 uint64_t Service) const;
--- a/src/net/http_server_base.h
+++ b/src/net/http_server_base.h
@@ -54,7 +54,7 @@
    * @param Where Address and port; port 0 lets the system choose one.
    * @param Limits Limits for clients.
    * @param Handle Called for each well-formed request.
-   * @param OnRejected Told of the others.
+   * @param OnRejected Called for each request that is malformed or too large.
    * @throws boost::system::system_error if the address cannot be bound.
    */
   HttpServer(
