Send interim responses without waiting for the caller

What callers saw: nothing any more. One caller that sent requests with "Expect: 100-continue" and read no response could stop a gateway for all.

Cause: "100 Continue" was written synchronously, and Boost.Asio waits in poll until the kernel has taken all of it. Whether an interim or a final response is the first without room depends on the lengths of all before.

Evidence (trial, before the change): one gateway, connections of a caller with a receive buffer of 16 KiB, bodies 0.1 ms after their heads. In the second connection the gateway stopped; its stack showed ForwardSession::parse in poll with 16 of 25 bytes left.

Change: the interim response is written as far as the kernel takes it at once. Without room it is left out, which callers must expect; after a part of it the connection is closed and counted as a stalled write. It was the only synchronous call on a connection.

--- a/src/net/forward_session.cpp
+++ b/src/net/forward_session.cpp
@@ -1,10 +1,10 @@
 #include "net/forward_session_base.h"
 
 #include "net/bounded_parse_func.h"
+#include "net/socket_func.h"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <string>
 #include <utility>
@@ -120,9 +120,18 @@
   if (this->Current->is_header_done() && !this->ContinueSent &&
       beast::iequals(this->Current->get()[http::field::expect],
                      "100-continue")) {
-    this->ContinueSent = true;
-    beast::error_code Ignored; // A broken connection shows at the next read.
-    asio::write(this->Socket, asio::buffer(ContinueResponse), Ignored);
+    this->sendContinue();
+  }
+}
+
+void ForwardSession::sendContinue() {
+  this->ContinueSent = true;
+  size_t Written = writeAtOnce(this->Socket, ContinueResponse);
+  // Callers send the body after a time of their own if they get no interim
+  // response, but part of one would spoil the response that follows.
+  if (Written > 0 && Written < ContinueResponse.size()) {
+    ++this->Server->Counters.WritesStalled;
+    this->close();
   }
 }
 
--- a/src/net/forward_session_base.h
+++ b/src/net/forward_session_base.h
@@ -82,6 +82,8 @@
   void read();
   void onRead(boost::beast::error_code Failure, size_t Count);
   void parse();
+  /** Tells the caller to send the body, if the connection has room for it. */
+  void sendContinue();
   void dispatch();
   /** Responds to bytes that are no request. @param Reason The parser's error.
    */
--- a/src/net/socket_func.cpp
+++ b/src/net/socket_func.cpp
@@ -19,6 +19,13 @@
   return Nothing ? SocketInput::None : SocketInput::Closed;
 }
 
+size_t writeAtOnce(boost::asio::ip::tcp::socket &Socket,
+                   std::string_view Bytes) {
+  ssize_t Count = send(Socket.native_handle(), Bytes.data(), Bytes.size(),
+                       MSG_DONTWAIT | MSG_NOSIGNAL);
+  return Count > 0 ? static_cast<size_t>(Count) : 0;
+}
+
 namespace {
 
 /** Idle time before the first probe, and time between probes, in seconds. */
--- a/src/net/socket_func.h
+++ b/src/net/socket_func.h
@@ -2,6 +2,8 @@
 #define HICKORYCRANK_NET_SOCKET_FUNC_H
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <string_view>
 
 namespace hickorycrank::net {
 
@@ -21,6 +23,18 @@
  */
 SocketInput peekInput(boost::asio::ip::tcp::socket &Socket);
 
+/**
+ * Writes as many bytes as the kernel takes at once. A synchronous write of
+ * Boost.Asio waits for a peer that reads nothing, and with it the whole
+ * process.
+ * @param Socket A connected socket.
+ * @param Bytes What is to be written.
+ * @return Number of bytes written; 0 also if the connection is broken, which
+ *   shows at the next read.
+ */
+size_t writeAtOnce(boost::asio::ip::tcp::socket &Socket,
+                   std::string_view Bytes);
+
 /**
  * Makes the kernel break a connection whose peer no longer answers, as after a
  * network partition or when a middlebox has lost track of it. Idle connections
--- a/tests/slow_reader_test.cpp
+++ b/tests/slow_reader_test.cpp
@@ -1,10 +1,12 @@
 // Tests callers and servers that read slowly or not at all, on loopback.
 #include "gateway_harness.h"
 #include "net/forward_server_base.h"
+#include "net/socket_func.h"
 #include "net/upstream_pool_base.h"
 
 #include <catch2/catch.hpp>
 #include <deque>
+#include <future>
 #include <memory>
 #include <string>
 
@@ -269,3 +271,31 @@
   tcp::socket Quick = Test.send(fanOutRequest("quick"));
   CHECK_FALSE(GatewayFixture::receive(Quick).empty());
 }
+
+// Guards against a process that serves nobody because it waits until one caller
+// has room for an interim response.
+TEST_CASE("an interim response does not wait for a caller that reads nothing",
+          "[gateway]") {
+  asio::io_context Context;
+  tcp::acceptor Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0});
+  tcp::socket Caller(Context);
+  Caller.connect(Acceptor.local_endpoint());
+  tcp::socket Accepted = Acceptor.accept();
+  Accepted.non_blocking(true);
+  const std::string Bytes(100'000, 'a');
+  boost::system::error_code Failure;
+  // The buffers grow for some time, and their last bytes are taken one by one.
+  for (int I = 0; I < 2'000; ++I) {
+    Accepted.write_some(asio::buffer(Bytes), Failure);
+    std::this_thread::sleep_for(100us);
+  }
+  while (Accepted.write_some(asio::buffer("a", 1), Failure) > 0) {
+  }
+  Accepted.non_blocking(false);
+  auto Written = std::async(std::launch::async, [&] {
+    return net::writeAtOnce(Accepted, "HTTP/1.1 100 Continue\r\n\r\n");
+  });
+  CHECK(Written.wait_for(1s) == std::future_status::ready);
+  Caller.close(); // Ends a write that waits.
+  CHECK(Written.get() == 0);
+}
