--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 # this checks that they can be run. Python 3.11 or later, no further packages.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -B - common-3/bed.py 1[1-5]/case.py <<'CHECK'
+python3 -B - common-3/*.py 1[1-5]/case.py <<'CHECK'
 import sys
 import tomllib  # Needs Python 3.11.
 
