--- a/review/common-3/bed.py
+++ b/review/common-3/bed.py
@@ -9,7 +9,9 @@
 import hashlib
 import json
 import os
+import random
 import shutil
+import socket
 import sys
 import tempfile
 import time
@@ -161,7 +163,8 @@
 
     def sign(self, attempt):
         text = f"{self.service}/{attempt}".encode()
-        return f"{self.service}.{self.name}.{hashlib.sha256(text).hexdigest()[:12]}"
+        proof = hashlib.sha256(text).hexdigest()[:12]
+        return f"{self.service}.{self.name}.{proof}"
 
     async def serve(self, reader, writer):
         try:
@@ -191,6 +194,31 @@
         return build_message("HTTP/1.1 200 OK", signed, b"done " + body)
 
 
+class Ports:
+    """Free ports, the same on all machines."""
+    NAMES = ("front", "readiness", "control", "heartbeat")
+    FIRST, LAST, RANGE = 20_000, 30_000, 16
+
+    def __init__(self, addresses):
+        for first in random.sample(range(self.FIRST, self.LAST, 32), 100):
+            numbers = range(first, first + len(self.NAMES))
+            if all(self.is_free(a, n) for a in addresses for n in numbers):
+                break
+        else:
+            raise CannotRun("no free ports")
+        self.front, self.readiness, self.control, self.heartbeat = numbers
+
+    @staticmethod
+    def is_free(address, number):
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(socket.AF_INET, kind) as trial:
+                try:
+                    trial.bind((address, number))
+                except OSError:
+                    return False
+        return True
+
+
 class Gateway:
     """One gateway process."""
 
@@ -200,7 +228,9 @@
         self.process = None
 
     def settings(self):
-        seeds = ",".join(f'"{self.bed.network}.{i + 1}:8224"' for i in range(3))
+        ports = self.bed.ports
+        seeds = ",".join(f'"{self.bed.network}.{i + 1}:{ports.control}"'
+                         for i in range(3))
         zones = "\n".join(f'{zone} = "region"' for zone in ZONES)
         return f"""node = "front-{self.index}"
 role = "entry"
@@ -209,7 +239,7 @@
 ip-address = "{self.ip}"
 zone = "{ZONES[self.index % 3]}"
 region = "region"
-internal-port-range = [7740,7755]
+internal-port-range = [{ports.heartbeat},{ports.heartbeat + ports.RANGE}]
 seeds = [{seeds}]
 first-start = true
 discovery = "platform"
@@ -217,9 +247,9 @@
 [zones]
 {zones}
 [listen-addresses]
-front = "{self.ip}:8226"
-readiness-address = "{self.ip}:8227"
-control = "{self.ip}:8224"
+front = "{self.ip}:{ports.front}"
+readiness-address = "{self.ip}:{ports.readiness}"
+control = "{self.ip}:{ports.control}"
 [limits]
 cpu-share = 0.5
 cores = 1
@@ -264,8 +294,8 @@
         self.process.send_signal(number)
 
     async def ready(self):
-        answer = await ask(self.ip, 8227, "GET /readiness HTTP/1.1",
-                           {"Host": "x"}, b"", 1)
+        answer = await ask(self.ip, self.bed.ports.readiness,
+                           "GET /readiness HTTP/1.1", {"Host": "x"}, b"", 1)
         return answer is not None and " 200 " in answer[0]
 
 
@@ -302,6 +332,7 @@
         self.record = Record(folder)
         self.store = Store(self.record)
         self.gateways = [Gateway(self, i) for i in range(gateways)]
+        self.ports = Ports([gateway.ip for gateway in self.gateways])
         self.searchers = []
         self.runs = {}  # Searchers that ran it, by attempt id.
 
@@ -338,7 +369,7 @@
         """Sends one attempt of a requester; records and returns its answer."""
         self.record("sent", f"front-{gateway.index}", attempt, method, target)
         answer = await ask(
-            gateway.ip, 8226, f"{method} {target} HTTP/1.1",
+            gateway.ip, self.ports.front, f"{method} {target} HTTP/1.1",
             {"Host": host, "X-Hickorycrank-Attempt-Id": attempt,
              "X-Hickorycrank-Timeout-Remaining": timeout_ms}, body,
             timeout_ms / 1000 + 1)
